--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+
+.PHONY: setup test lint demo measure
+
+$(VENV)/.ready: pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -e '.[dev]'
+	touch $(VENV)/.ready
+
+setup: $(VENV)/.ready
+
+test: setup
+	$(PY) -m pytest -q -p tests.known_red
+
+lint: setup
+	$(VENV)/bin/black --check -q gypsumwind tests
+	$(VENV)/bin/ruff check -q gypsumwind tests
+	$(VENV)/bin/mypy gypsumwind
+
+demo: setup
+	$(PY) -m tests.standins.demo
--- /dev/null
+++ b/gypsumwind/board.py
@@ -0,0 +1,91 @@
+"""Snapshots that actors publish for reading: each is replaced whole by its one owner."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from gypsumwind.core.admission import Headroom
+from gypsumwind.core.membership import Member, State
+from gypsumwind.core.ownership import Hold
+from gypsumwind.core.table import Places, ServiceTable
+
+
+@dataclass(slots=True, frozen=True)
+class MembersView:
+    """The members that this VM knows, and since when (monotonic) each is in its state."""
+
+    me: Member
+    members: Mapping[str, Member]
+    changed_at: Mapping[str, float]
+
+    def live(self, zone: str | None = None) -> list[Member]:
+        """Return the other members that new work may be sent to."""
+        found = [m for m in self.members.values() if m.usable]
+        return [m for m in found if zone is None or m.zone == zone]
+
+    def present(self, zone: str) -> list[Member]:
+        """Return the other members of a zone that are not known to be dead or gone."""
+        return [m for m in self.members.values() if m.zone == zone and m.state < State.DEAD]
+
+    def get(self, vm: str) -> Member | None:
+        """Return a member, this VM included."""
+        return self.me if vm == self.me.vm else self.members.get(vm)
+
+    def dead(self, vm: str, silence_s: float, now: float) -> bool:
+        """Tell whether a VM has left, or is dead and has been silent for long enough."""
+        member = self.members.get(vm)
+        if member is None:
+            return False
+        if member.state is State.LEFT:
+            return True
+        silent = now - self.changed_at.get(vm, now)
+        return member.state is State.DEAD and silent >= silence_s
+
+
+@dataclass(slots=True, frozen=True)
+class VmLoad:
+    """What a VM of the zone last published: its incarnation, holds and headroom."""
+
+    vm: str
+    incarnation: int
+    leaving: bool
+    holds: tuple[tuple[Hold, int, float], ...]
+    headroom: Mapping[str, Headroom]
+    generations: Mapping[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class ZoneLoad:
+    """What a zone last published: time in epoch seconds, VMs, headroom, table generations."""
+
+    zone: str
+    at: float
+    vms: int
+    headroom: Mapping[str, Headroom]
+    generations: Mapping[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class HoldsView:
+    """What this VM holds, hands over and knows to be held by others, and its load."""
+
+    held: Mapping[str, int] = field(default_factory=dict)
+    handing: Mapping[str, Hold] = field(default_factory=dict)
+    known: Mapping[str, Hold] = field(default_factory=dict)
+    loads: Mapping[str, tuple[int, float]] = field(default_factory=dict)
+    headroom: Mapping[str, Headroom] = field(default_factory=dict)
+
+
+class Board:
+    """The latest snapshots: members, tables, places, loads, holds, and the fence."""
+
+    __slots__ = ("members", "tables", "places", "vms", "zones", "holds", "fence_until", "leaving")
+
+    def __init__(self, me: Member) -> None:
+        self.members = MembersView(me, {}, {})
+        self.tables: Mapping[str, ServiceTable] = {}
+        self.places = Places()
+        self.vms: Mapping[str, VmLoad] = {}
+        self.zones: Mapping[str, ZoneLoad] = {}
+        self.holds = HoldsView()
+        self.fence_until = 0.0
+        self.leaving = False
--- /dev/null
+++ b/gypsumwind/calls.py
@@ -0,0 +1,193 @@
+"""A caller's request and its answer, as they pass through a daemon with bounded buffers."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+from gypsumwind.core.admission import Priority
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.utils import monotonic
+
+CHUNK_BYTES = 65536
+REPLAY_BYTES = 65536
+
+H_TIMEOUT = "gypsumwind-timeout-ms"
+H_CLASS = "gypsumwind-class"
+H_TENANT = "gypsumwind-tenant"
+H_KEY = "idempotency-key"
+H_ATTEMPT = "gypsumwind-attempt"
+H_HOP = "gypsumwind-hop"
+H_ORIGIN_REGION = "gypsumwind-origin-region"
+H_VERDICT = "gypsumwind-verdict"
+H_CODE = "gypsumwind-code"
+H_VM = "gypsumwind-vm"
+H_INSTANCE = "gypsumwind-instance"
+H_DRAINING = "upstream-draining"
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    )
+)
+OWN_HEADERS = frozenset((H_TIMEOUT, H_ATTEMPT, H_HOP, H_ORIGIN_REGION, H_CLASS, H_TENANT))
+
+
+class Reader(Protocol):
+    """A source of body bytes."""
+
+    def read(self, size: int) -> bytes:
+        """Return at most `size` bytes, none at the end."""
+        ...
+
+
+class Body:
+    """A request body: a small one is kept for replay, a large one is read once."""
+
+    __slots__ = ("length", "_reader", "_kept", "_started")
+
+    def __init__(self, reader: Reader, length: int | None) -> None:
+        self.length = length
+        self._reader = reader
+        self._kept: bytes | None = None
+        self._started = False
+
+    def keep_small(self) -> None:
+        """Read a body of a known small length, so that it can be sent again."""
+        if self.length is not None and self.length <= REPLAY_BYTES:
+            self._kept = self._read_exactly(self.length)
+
+    @property
+    def replayable(self) -> bool:
+        """Tell whether the body can be sent (again)."""
+        return self._kept is not None or not self._started
+
+    @property
+    def unread(self) -> bool:
+        """Tell whether bytes of the body may be left on the caller's connection."""
+        return self._kept is None and self.length != 0
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; RequestError if the caller cuts it."""
+        if self._kept is not None:
+            if self._kept:
+                yield self._kept
+            return
+        self._started = True
+        left = self.length
+        while left is None or left > 0:
+            size = CHUNK_BYTES if left is None else min(CHUNK_BYTES, left)
+            chunk = self._read(size)
+            if not chunk and left:
+                raise _cut_body()
+            if not chunk:
+                return
+            left = None if left is None else left - len(chunk)
+            yield chunk
+
+    def _read_exactly(self, length: int) -> bytes:
+        data = self._read(length) if length else b""
+        if len(data) < length:
+            raise _cut_body()
+        return data
+
+    def _read(self, size: int) -> bytes:
+        try:
+            return self._reader.read(size)
+        except OSError as exc:
+            raise _cut_body() from exc
+
+
+def _cut_body() -> RequestError:
+    return RequestError(
+        Code.BAD_REQUEST, "the request's body was cut short", Verdict.MAY_HAVE_RUN, 400
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A request on its way to an upstream; `deadline` is on this process's clock."""
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: Body
+    priority: Priority
+    tenant: str
+    deadline: float
+    origin_region: str
+    key: str = ""
+    attempt: str = ""
+    exclude: frozenset[str] = frozenset()
+
+    def remaining_s(self) -> float:
+        """Return the seconds until the deadline; RequestError once it has passed."""
+        left = self.deadline - monotonic()
+        if left <= 0:
+            raise RequestError(
+                Code.DEADLINE_EXCEEDED, "the deadline has passed", Verdict.NOT_RUN, 504
+            )
+        return left
+
+    def hop_headers(self, hop: str) -> dict[str, str]:
+        """Return the headers with which another VM gets this call."""
+        headers = dict(self.headers)
+        headers[H_TIMEOUT] = str(int(self.remaining_s() * 1000))
+        headers[H_CLASS] = self.priority.name.lower()
+        headers[H_TENANT] = self.tenant
+        headers[H_ATTEMPT] = self.attempt
+        headers[H_ORIGIN_REGION] = self.origin_region
+        headers[H_HOP] = hop
+        if self.key:
+            headers[H_KEY] = self.key
+        return headers
+
+    def with_attempt(self, attempt: str) -> "Call":
+        """Return the call under another attempt id."""
+        return replace(self, attempt=attempt)
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer that is streamed; whoever takes it calls end() exactly when it is done."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    chunks: Iterator[bytes]
+    close: Callable[[], None]
+    length: int | None = None
+    verdict: Verdict = Verdict.ANSWERED
+    instance: str = ""
+    on_end: list[Callable[[bool], None]] = field(default_factory=list)
+    _ended: bool = False
+
+    def end(self, whole: bool) -> None:
+        """Let go of the connection and tell the listeners whether the body went out whole."""
+        if self._ended:
+            return
+        self._ended = True
+        for listener in self.on_end:
+            listener(whole)
+        self.close()
+
+
+def header(headers: Mapping[str, str], name: str, default: str = "") -> str:
+    """Return a header by its lower-case name."""
+    return headers.get(name, default)
+
+
+def forwarded(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that go on to an upstream or to another VM."""
+    dropped = HOP_BY_HOP | OWN_HEADERS
+    return tuple((name, value) for name, value in headers.items() if name not in dropped)
--- /dev/null
+++ b/gypsumwind/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: time and randomness are handed in."""
--- /dev/null
+++ b/gypsumwind/core/admission.py
@@ -0,0 +1,334 @@
+"""Admission to the instances that a VM owns: exact slots, lent limits, reserve, short queues."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+from gypsumwind.core.choice import Candidate, InstanceChoice
+from gypsumwind.core.health import Health, Result
+from gypsumwind.core.limits import Limits, SettlingLimits
+from gypsumwind.core.split import instance_shares
+from gypsumwind.core.table import Instance, Places, ServiceTable, region_instances
+
+RETRY_AFTER_S = 1.0
+RETRY_JITTER = 0.5
+
+
+class Priority(IntEnum):
+    """Class of a request; a smaller number goes first."""
+
+    HIGH = 0
+    NORMAL = 1
+    LOW = 2
+
+
+class Reason(Enum):
+    """Why a request was refused."""
+
+    NO_INSTANCE = "no instance of the service is owned here"
+    FULL = "no slot is free"
+    LATE = "the deadline has passed"
+    LAPSED = "the lease of this VM has lapsed"
+    DISPLACED = "a request of a higher class took the place in the queue"
+
+
+@dataclass(slots=True, frozen=True)
+class PermitRequest:
+    """A request for a slot; `deadline` is on the clock of the VM's process."""
+
+    attempt: str
+    service: str
+    priority: Priority
+    foreign: bool
+    deadline: float
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class Granted:
+    """A slot of an instance, held until it is given back."""
+
+    attempt: str
+    instance: str
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """No slot, why, and when to come back."""
+
+    attempt: str
+    reason: Reason
+    retry_after_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """A slot in use until given back, at the latest until `deadline`."""
+
+    deadline: float
+    foreign: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Headroom:
+    """Slots of a service on one VM: all, in use, free for class high, for others, and lent."""
+
+    slots: int = 0
+    in_flight: int = 0
+    free_high: int = 0
+    free: int = 0
+    free_lent: int = 0
+
+
+class SlotState:
+    """One instance: what is in flight on it, its limits and its health."""
+
+    __slots__ = ("service", "instance", "limits", "in_flight", "charges", "health", "_report_by")
+
+    def __init__(self, service: str, instance: Instance, limits: Limits) -> None:
+        self.service = service
+        self.instance = instance
+        self.limits = SettlingLimits(limits)
+        self.in_flight: dict[str, Usage] = {}
+        self.charges: list[Usage] = []
+        self.health = Health()
+        self._report_by = 0.0
+
+    def take_over(self, running: list[Usage], report_by: float) -> None:
+        """Start to own an instance whose previous owner cannot say what it left in flight.
+
+        `running` is what that owner last said. Until the instance itself has reported, at the
+        latest until `report_by`, every slot counts as in use.
+        """
+        self.charges = list(running)
+        self._report_by = report_by
+
+    def report(self, in_flight: int, until: float, now: float) -> None:
+        """Take the first load report after a takeover: more may be running than was said."""
+        if now >= self._report_by:
+            return
+        self._report_by = 0.0
+        unsaid = in_flight - len(self.in_flight) - len(self.live_charges(now))
+        self.charges.extend([Usage(until, True)] * max(0, unsaid))
+
+    def used(self, now: float) -> int:
+        """Return the slots in use, a predecessor's requests included."""
+        return len(self.in_flight) + len(self.live_charges(now))
+
+    def foreign_used(self, now: float) -> int:
+        """Return the slots in use by callers of other regions."""
+        own = sum(usage.foreign for usage in self.in_flight.values())
+        return own + sum(usage.foreign for usage in self.live_charges(now))
+
+    def live_charges(self, now: float) -> list[Usage]:
+        """Return what a previous owner left in flight, until its deadline."""
+        self.charges = [c for c in self.charges if c.deadline > now]
+        return self.charges
+
+    def free(self, priority: Priority, foreign: bool, now: float) -> int:
+        """Return the slots that a request of this kind could take."""
+        if now < self._report_by:
+            return 0
+        limits = self.limits.at(now)
+        free = limits.slots - self.used(now)
+        if priority is not Priority.HIGH:
+            free -= limits.reserve
+        if foreign:
+            free = min(free, limits.lent - self.foreign_used(now))
+        return max(0, min(free, self.health.allowance(now) - len(self.in_flight)))
+
+
+@dataclass(slots=True)
+class _Waiter:
+    request: PermitRequest
+    until: float
+    order: int
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Answers to queued requests that an event has settled."""
+
+    granted: list[Granted] = field(default_factory=list)
+    refused: list[Refused] = field(default_factory=list)
+
+
+class Admission:
+    """Slots of the owned instances and the queue of each service, shorter than its slots."""
+
+    def __init__(self, choice: InstanceChoice, queue_wait_s: float, rng: random.Random) -> None:
+        self.states: dict[str, SlotState] = {}
+        self._owned: set[str] = set()
+        self._choice = choice
+        self._queue_wait_s = queue_wait_s
+        self._rng = rng
+        self._queues: dict[str, list[_Waiter]] = {}
+        self._order = 0
+
+    def sync_table(self, table: ServiceTable, places: Places, zone: str, settle_at: float) -> None:
+        """Take in a version of a service's table for the instances of this zone."""
+        region = places.region_of(zone)
+        row = table.row(region)
+        siblings = region_instances(table, places, region)
+        lent = instance_shares(row.limit, siblings)
+        reserve = instance_shares(row.reserve, siblings)
+        names = set()
+        for inst in table.zone_instances(zone):
+            names.add(inst.name)
+            limits = Limits(inst.slots, lent.get(inst.name, 0), reserve.get(inst.name, 0))
+            self._sync_instance(table.service, inst, limits, settle_at)
+        for name, state in list(self.states.items()):
+            if state.service == table.service and name not in names and not state.in_flight:
+                del self.states[name]
+
+    def _sync_instance(self, service: str, inst: Instance, limits: Limits, settle: float) -> None:
+        state = self.states.get(inst.name)
+        if state is None:
+            state = self.states[inst.name] = SlotState(service, inst, limits)
+        elif state.instance.address != inst.address:
+            state.health = Health()
+        state.instance = inst
+        state.limits.change(limits, settle)
+        state.health.set_leaving("table", inst.draining)
+
+    def set_owned(self, names: Iterable[str]) -> None:
+        """Set the instances that this VM may admit to."""
+        self._owned = set(names)
+
+    def charge(self, name: str, usages: list[Usage]) -> None:
+        """Count what a previous owner of an instance may still have in flight."""
+        state = self.states.get(name)
+        if state is not None:
+            state.charges = list(usages)
+
+    def discharge(self, name: str) -> None:
+        """A previous owner finished one request of an instance."""
+        state = self.states.get(name)
+        if state is not None and state.charges:
+            state.charges.pop(0)
+
+    def request(self, req: PermitRequest, now: float) -> Granted | Refused | None:
+        """Grant a slot, refuse, or queue the request (None); its answer comes by an Outcome."""
+        if now >= req.deadline:
+            return self.refuse(req, Reason.LATE)
+        owned = self._owned_states(req.service)
+        if not any(s.health.serving(now) for s in owned):
+            return self.refuse(req, Reason.NO_INSTANCE)
+        return self._try_grant(req, now)
+
+    def enqueue(self, req: PermitRequest, now: float) -> tuple[bool, Outcome]:
+        """Queue a request that found no slot; tell whether it waits, and who was displaced."""
+        queue = self._queues.setdefault(req.service, [])
+        outcome = Outcome()
+        slots = sum(s.limits.at(now).slots for s in self._owned_states(req.service))
+        if len(queue) >= slots:
+            last = max(queue, key=lambda w: (w.request.priority, w.order), default=None)
+            if last is None or last.request.priority <= req.priority:
+                return False, outcome
+            queue.remove(last)
+            outcome.refused.append(self.refuse(last.request, Reason.DISPLACED))
+        self._order += 1
+        queue.append(_Waiter(req, min(req.deadline, now + self._queue_wait_s), self._order))
+        return True, outcome
+
+    def finish(self, attempt: str, now: float) -> tuple[SlotState | None, Outcome]:
+        """Give a slot back and pass it to the first fitting request in the queue."""
+        for state in self.states.values():
+            if state.in_flight.pop(attempt, None) is not None:
+                return state, self.drain_queue(state.service, now)
+        return None, Outcome()
+
+    def observe(self, state: SlotState, result: Result, latency_s: float, now: float) -> bool:
+        """Take in how a request ended; True when its instance is ejected by that.
+
+        At most half of a service's owned instances are ejected on their answers alone.
+        """
+        siblings = self._owned_states(state.service)
+        out = sum(1 for s in siblings if s.health.ejected(now))
+        may_eject = 2 * (out + 1) <= len(siblings) or result is Result.UNREACHABLE
+        return state.health.observe(result, latency_s, now, may_eject)
+
+    def cancel(self, attempt: str) -> None:
+        """Take a request out of its queue."""
+        for queue in self._queues.values():
+            queue[:] = [w for w in queue if w.request.attempt != attempt]
+
+    def drain_queue(self, service: str, now: float) -> Outcome:
+        """Grant free slots to the queue of a service, highest class first, and expire the late."""
+        outcome = Outcome()
+        queue = self._queues.get(service, [])
+        for waiter in sorted(queue, key=lambda w: (w.request.priority, w.order)):
+            if waiter.until <= now:
+                queue.remove(waiter)
+                outcome.refused.append(self.refuse(waiter.request, Reason.FULL))
+                continue
+            granted = self._try_grant(waiter.request, now)
+            if granted is not None:
+                queue.remove(waiter)
+                outcome.granted.append(granted)
+        return outcome
+
+    def tick(self, now: float) -> Outcome:
+        """Expire queued requests and grant slots that deadlines have freed."""
+        total = Outcome()
+        for service in list(self._queues):
+            outcome = self.drain_queue(service, now)
+            total.granted.extend(outcome.granted)
+            total.refused.extend(outcome.refused)
+        return total
+
+    def refuse_all(self, reason: Reason) -> Outcome:
+        """Refuse every queued request."""
+        outcome = Outcome()
+        for queue in self._queues.values():
+            outcome.refused.extend(self.refuse(w.request, reason) for w in queue)
+            queue.clear()
+        return outcome
+
+    def refuse(self, req: PermitRequest, reason: Reason) -> Refused:
+        """Return a refusal with a jittered time to come back."""
+        jitter = 1.0 + RETRY_JITTER * (2.0 * self._rng.random() - 1.0)
+        return Refused(req.attempt, reason, RETRY_AFTER_S * jitter)
+
+    def headroom(self, now: float) -> dict[str, Headroom]:
+        """Return the headroom of each service over the owned instances."""
+        result: dict[str, Headroom] = {}
+        for name in self._owned:
+            state = self.states.get(name)
+            if state is None or not state.health.serving(now):
+                continue
+            old = result.get(state.service, Headroom())
+            result[state.service] = Headroom(
+                old.slots + state.limits.at(now).slots,
+                old.in_flight + state.used(now),
+                old.free_high + state.free(Priority.HIGH, False, now),
+                old.free + state.free(Priority.NORMAL, False, now),
+                old.free_lent + state.free(Priority.NORMAL, True, now),
+            )
+        return result
+
+    def _owned_states(self, service: str) -> list[SlotState]:
+        states = (self.states.get(name) for name in self._owned)
+        return [s for s in states if s is not None and s.service == service]
+
+    def _try_grant(self, req: PermitRequest, now: float) -> Granted | None:
+        fitting = {
+            s.instance.name: s
+            for s in self._owned_states(req.service)
+            if s.instance.name not in req.exclude
+            and s.health.serving(now)
+            and s.free(req.priority, req.foreign, now) > 0
+        }
+        if not fitting:
+            return None
+        candidates = [
+            Candidate(
+                name, s.used(now), s.limits.at(now).slots, s.health.latency.value, s.health.ill(now)
+            )
+            for name, s in fitting.items()
+        ]
+        chosen = fitting[self._choice.pick(candidates, self._rng).name]
+        chosen.in_flight[req.attempt] = Usage(req.deadline, req.foreign)
+        return Granted(req.attempt, chosen.instance.name, chosen.instance.address)
--- /dev/null
+++ b/gypsumwind/core/edits.py
@@ -0,0 +1,188 @@
+"""Edits of cells: each names the value it was seen at, so that no edit is lost unseen."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from gypsumwind.core.shifts import Shift, plan_shift, steady
+from gypsumwind.core.table import (
+    COLUMN_BY_NAME,
+    Cell,
+    CellValue,
+    EditRecord,
+    Instance,
+    ServiceTable,
+    with_history,
+)
+from gypsumwind.errors import EditConflictError
+
+ABSENT = "(absent)"
+
+
+@dataclass(slots=True, frozen=True)
+class CellEdit:
+    """Set one cell from the value that was seen to a new one."""
+
+    region: str
+    column: str
+    seen: CellValue | None
+    value: CellValue
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceEdit:
+    """Add, change or (with `after` None) remove one instance."""
+
+    name: str
+    seen: Instance | None
+    after: Instance | None
+
+
+@dataclass(slots=True, frozen=True)
+class EditBatch:
+    """Edits of one service that take effect together, under one edit id."""
+
+    edit_id: str
+    author: str
+    at: float
+    edits: tuple[CellEdit | InstanceEdit, ...]
+
+
+def cell_value(table: ServiceTable, region: str, column: str) -> CellValue | None:
+    """Return the value that an editor sees in a cell, None where the row lacks it."""
+    cell = table.cells.get(region, {}).get(column)
+    return None if cell is None else cell.value
+
+
+def apply_batch(table: ServiceTable, batch: EditBatch) -> ServiceTable:
+    """Return the next generation of the table; EditConflictError shows every cell that differs."""
+    conflicts = [text for edit in batch.edits if (text := _conflict(table, edit))]
+    if conflicts:
+        raise EditConflictError("; ".join(conflicts))
+    generation = table.generation + 1
+    records = [_record(table, edit, batch, generation) for edit in batch.edits]
+    for edit in batch.edits:
+        if isinstance(edit, CellEdit):
+            table = _set_cell(table, edit, batch, generation)
+        else:
+            table = _set_instance(table, edit, generation)
+    return with_history(replace(table, generation=generation), records)
+
+
+def _conflict(table: ServiceTable, edit: CellEdit | InstanceEdit) -> str:
+    if isinstance(edit, CellEdit):
+        current = cell_value(table, edit.region, edit.column)
+        if current in (edit.seen, edit.value):
+            return ""
+        place = f"{table.service}/{edit.region} column {edit.column}"
+        return f"{place}: is now {current}, was seen as {edit.seen}, edit says {edit.value}"
+    found = table.instances.get(edit.name)
+    if _content(found) in (_content(edit.seen), _content(edit.after)):
+        return ""
+    return f"{table.service} instance {edit.name}: is now {_content(found)}"
+
+
+def _content(inst: Instance | None) -> str:
+    if inst is None:
+        return ABSENT
+    drain = " draining" if inst.draining else ""
+    return f"{inst.zone} {inst.address} {inst.slots} slots{drain}"
+
+
+def _record(
+    table: ServiceTable, edit: CellEdit | InstanceEdit, batch: EditBatch, generation: int
+) -> EditRecord:
+    if isinstance(edit, CellEdit):
+        current = cell_value(table, edit.region, edit.column)
+        place = f"{edit.region}/{edit.column}"
+        before = ABSENT if current is None else str(current)
+        after = str(edit.value)
+    else:
+        place = f"instance/{edit.name}"
+        before = _content(table.instances.get(edit.name))
+        after = _content(edit.after)
+    return EditRecord(batch.edit_id, batch.author, batch.at, generation, place, before, after)
+
+
+def _set_cell(
+    table: ServiceTable, edit: CellEdit, batch: EditBatch, generation: int
+) -> ServiceTable:
+    cell = Cell(edit.value, generation, batch.edit_id)
+    if edit.column == "weight":
+        shift = _shift(table, edit, batch.at)
+        cell = replace(cell, shift=shift)
+    row = {**table.cells.get(edit.region, {}), edit.column: cell}
+    return replace(table, cells={**table.cells, edit.region: row})
+
+
+def _shift(table: ServiceTable, edit: CellEdit, now: float) -> Shift:
+    old = table.cells.get(edit.region, {}).get("weight")
+    target = float(edit.value)
+    if old is None:
+        return steady(target)
+    cap = float(table.cell(edit.region, "shift_cap").value)
+    return plan_shift(old.shift or steady(float(old.value)), target, cap, now)
+
+
+def _set_instance(table: ServiceTable, edit: InstanceEdit, generation: int) -> ServiceTable:
+    instances = {n: i for n, i in table.instances.items() if n != edit.name}
+    if edit.after is not None:
+        instances[edit.name] = replace(edit.after, stamp=generation)
+    return replace(table, instances=instances)
+
+
+def diff_cells(table: ServiceTable, wanted: dict[str, dict[str, CellValue]]) -> list[CellEdit]:
+    """Return the edits that bring the cells of the named rows to the wanted values."""
+    edits = []
+    for region, row in wanted.items():
+        for column, value in row.items():
+            seen = cell_value(table, region, column)
+            if seen != value:
+                edits.append(CellEdit(region, column, seen, value))
+    return sorted(edits, key=lambda e: (e.column != "shift_cap", e.region, e.column))
+
+
+def diff_instances(table: ServiceTable, wanted: Sequence[Instance]) -> list[InstanceEdit]:
+    """Return the edits that bring the instances to the wanted ones; draining marks are kept."""
+    edits = []
+    names = {inst.name for inst in wanted}
+    for inst in wanted:
+        seen = table.instances.get(inst.name)
+        after = replace(inst, draining=seen.draining if seen else inst.draining)
+        if _content(seen) != _content(after):
+            edits.append(InstanceEdit(inst.name, seen, after))
+    gone = [i for n, i in sorted(table.instances.items()) if n not in names]
+    edits.extend(InstanceEdit(inst.name, inst, None) for inst in gone)
+    return edits
+
+
+def merge_tables(held: ServiceTable, found: ServiceTable) -> ServiceTable:
+    """Join a document that the fleet holds with a diverged one that the store holds.
+
+    Each cell and instance with the higher stamp wins; on equal stamps the fleet's wins, for
+    it was in force first. Used when the store came back with older data and took edits on it.
+    """
+    cells: dict[str, dict[str, Cell]] = {r: dict(row) for r, row in held.cells.items()}
+    for region, row in found.cells.items():
+        mine = cells.setdefault(region, {})
+        for name, cell in row.items():
+            if name not in mine or cell.stamp > mine[name].stamp:
+                mine[name] = cell
+    instances = dict(held.instances)
+    for name, inst in found.instances.items():
+        known = instances.get(name)
+        newest = held.generation if known is None else known.stamp
+        if inst.stamp > newest:
+            instances[name] = inst
+    new_ids = {r.edit_id for r in held.history}
+    extra = [r for r in found.history if r.edit_id not in new_ids]
+    generation = max(held.generation, found.generation) + 1
+    joined = replace(held, generation=generation, cells=cells, instances=instances)
+    return with_history(joined, extra)
+
+
+def parse_cell(column: str, text: str) -> CellValue:
+    """Parse the text of a cell; ValueError says what is wrong."""
+    found = COLUMN_BY_NAME.get(column)
+    if found is None:
+        raise ValueError(f"no such column; the columns are {', '.join(COLUMN_BY_NAME)}")
+    return found.parse(text)
--- /dev/null
+++ b/gypsumwind/core/ownership.py
@@ -0,0 +1,207 @@
+"""Ownership of upstream instances: a hold moves by hand-over, or by takeover with witness.
+
+Rendezvous hashing names the VM that ought to hold an instance; only a hold lets it admit.
+A hold is won by a grant from every live member of the zone, and each move raises its epoch.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+PROMISE_S = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """An instance, the VM that admits to it, and the epoch of that."""
+
+    instance: str
+    holder: str
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """A request of `claimant` for the hold of an instance at an epoch."""
+
+    instance: str
+    claimant: str
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimReply:
+    """An answer to a claim: granted or not, and the hold that the answering VM knows."""
+
+    instance: str
+    granted: bool
+    holder: str
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class _Promise:
+    claimant: str
+    epoch: int
+    until: float
+
+
+@dataclass(slots=True)
+class Ownership:
+    """The holds of one VM and what it knows of those of its zone."""
+
+    vm: str
+    held: dict[str, int] = field(default_factory=dict)
+    known: dict[str, Hold] = field(default_factory=dict)
+    handing: dict[str, Hold] = field(default_factory=dict)
+    _promises: dict[str, _Promise] = field(default_factory=dict)
+
+    def may_admit(self, instance: str) -> bool:
+        """Tell whether this VM holds an instance and is not handing it over."""
+        return instance in self.held and instance not in self.handing
+
+    def holds(self) -> list[Hold]:
+        """Return the holds of this VM, those being handed over included."""
+        return [Hold(name, self.vm, epoch) for name, epoch in self.held.items()]
+
+    def answer(self, claim: Claim, silent: Iterable[str], now: float) -> ClaimReply:
+        """Answer a claim; `silent` names the VMs that are dead or have left by this VM's view."""
+        name = claim.instance
+        known = self._current(name)
+        epoch = known.epoch if known else 0
+        holder = known.holder if known else ""
+        free = holder in ("", claim.claimant) or (holder != self.vm and holder in silent)
+        promise = self._promises.get(name)
+        promised = promise is not None and promise.until > now
+        taken = promised and promise is not None and promise.claimant != claim.claimant
+        if not free or taken or claim.epoch <= epoch:
+            return ClaimReply(name, False, holder, epoch)
+        self._promises[name] = _Promise(claim.claimant, claim.epoch, now + PROMISE_S)
+        if claim.claimant != self.vm:
+            self.known[name] = Hold(name, claim.claimant, claim.epoch)
+        return ClaimReply(name, True, holder, epoch)
+
+    def _current(self, name: str) -> Hold | None:
+        if name in self.held:
+            return Hold(name, self.vm, self.held[name])
+        return self.known.get(name)
+
+    def start_claims(self, names: Iterable[str], silent: Iterable[str], now: float) -> list[Claim]:
+        """Promise free instances to this VM itself and return the claims for its peers."""
+        silent = set(silent)
+        claims = []
+        for name in names:
+            known = self.known.get(name)
+            claim = Claim(name, self.vm, (known.epoch if known else 0) + 1)
+            if name not in self.held and self.answer(claim, silent, now).granted:
+                claims.append(claim)
+        return claims
+
+    def finish_claims(
+        self,
+        claims: Iterable[Claim],
+        replies: Mapping[str, list[ClaimReply]],
+        peers: int,
+        now: float,
+    ) -> list[Hold]:
+        """Take the holds that all `peers` peers have granted; the rest is given up for now."""
+        won = []
+        for claim in claims:
+            answers = replies.get(claim.instance, [])
+            granted = len(answers) == peers and all(a.granted for a in answers)
+            if granted and self._still_promised(claim, now):
+                self.held[claim.instance] = claim.epoch
+                won.append(Hold(claim.instance, self.vm, claim.epoch))
+            for answer in answers:
+                if answer.holder and not answer.granted:
+                    self.learn(Hold(answer.instance, answer.holder, answer.epoch))
+            self._drop_promise(claim)
+        return won
+
+    def _still_promised(self, claim: Claim, now: float) -> bool:
+        promise = self._promises.get(claim.instance)
+        current = self._current(claim.instance)
+        mine = promise is not None and promise.claimant == self.vm and promise.until > now
+        return mine and (current is None or current.epoch < claim.epoch)
+
+    def _drop_promise(self, claim: Claim) -> None:
+        promise = self._promises.get(claim.instance)
+        if promise is not None and promise.claimant == claim.claimant:
+            del self._promises[claim.instance]
+
+    def learn(self, hold: Hold) -> bool:
+        """Take in a hold of another VM; True when this VM thereby loses its own.
+
+        Of two holders the lower epoch stops; at equal epochs the smaller VM name keeps it.
+        """
+        if hold.holder == self.vm:
+            return False
+        known = self.known.get(hold.instance)
+        if known is None or hold.epoch >= known.epoch:
+            self.known[hold.instance] = hold
+        mine = self.held.get(hold.instance)
+        if mine is None:
+            return False
+        if (mine, hold.holder) < (hold.epoch, self.vm) and hold.epoch >= mine:
+            del self.held[hold.instance]
+            self.handing.pop(hold.instance, None)
+            return True
+        return False
+
+    def forget_missing(self, holder: str, names: set[str], now: float) -> None:
+        """Drop what is known of a VM's holds that it no longer lists itself.
+
+        A list may be older than a claim that was just granted, hence the promise is waited for.
+        """
+        for name, hold in list(self.known.items()):
+            if hold.holder != holder or name in names:
+                continue
+            promise = self._promises.get(name)
+            if promise is None or promise.until <= now:
+                self.known[name] = Hold(name, "", hold.epoch)
+
+    def start_handover(self, instance: str, target: str) -> Hold:
+        """Stop admitting to an instance and return the hold that `target` is to take."""
+        planned = self.handing.get(instance)
+        if planned is None:
+            planned = Hold(instance, target, self.held[instance] + 1)
+            self.handing[instance] = planned
+        return planned
+
+    def finish_handover(self, hold: Hold) -> None:
+        """The target has taken the hold: drop it here."""
+        if self.handing.pop(hold.instance, None) is not None:
+            self.held.pop(hold.instance, None)
+            self.known[hold.instance] = hold
+
+    def accept_handover(self, hold: Hold) -> bool:
+        """Take a hold that its holder hands over; repeated calls are answered alike."""
+        mine = self.held.get(hold.instance)
+        if mine is not None:
+            return mine == hold.epoch
+        known = self.known.get(hold.instance)
+        if known is not None and known.epoch >= hold.epoch:
+            return False
+        self.held[hold.instance] = hold.epoch
+        return True
+
+    def cancel_handover(self, instance: str) -> None:
+        """The target refused the hold: keep it."""
+        self.handing.pop(instance, None)
+
+    def abandon_handover(self, instance: str) -> None:
+        """The target fell silent and may have taken the hold: it counts as the target's."""
+        hold = self.handing.get(instance)
+        if hold is not None:
+            self.finish_handover(hold)
+
+    def drop_all(self) -> list[str]:
+        """Give up every hold after a pause; they are won back by claims, or are others' by now."""
+        names = list(self.held)
+        for name, epoch in self.held.items():
+            planned = self.handing.get(name)
+            holder = planned.holder if planned else self.vm
+            self.known[name] = Hold(name, holder, planned.epoch if planned else epoch)
+        self.held.clear()
+        self.handing.clear()
+        self._promises.clear()
+        return names
--- /dev/null
+++ b/gypsumwind/core/records.py
@@ -0,0 +1,83 @@
+"""Versioned records that VMs spread among themselves by push and by anti-entropy.
+
+A record's version only rises: an older one is dropped wherever it comes from. Two VMs compare
+one hash a scope first and exchange versions only where the hashes differ.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+GLOBAL_SCOPE = "global"
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """A payload under a key, at a version; `scope` says which VMs keep it."""
+
+    key: str
+    version: int
+    scope: str
+    payload: bytes
+
+
+class Records:
+    """The records that one VM keeps: those of the global scope and of its zone."""
+
+    __slots__ = ("_records", "_scopes")
+
+    def __init__(self, zone: str) -> None:
+        self._records: dict[str, Record] = {}
+        self._scopes = (GLOBAL_SCOPE, zone)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, key: str) -> Record | None:
+        """Return a record or None."""
+        return self._records.get(key)
+
+    def with_prefix(self, prefix: str) -> list[Record]:
+        """Return the records whose key starts with a prefix."""
+        return [r for k, r in self._records.items() if k.startswith(prefix)]
+
+    def put(self, record: Record) -> bool:
+        """Keep a record if it is newer than the one kept; tell whether it was."""
+        if record.scope not in self._scopes:
+            return False
+        known = self._records.get(record.key)
+        if known is not None and known.version >= record.version:
+            return False
+        self._records[record.key] = record
+        return True
+
+    def drop(self, key: str) -> None:
+        """Forget a record."""
+        self._records.pop(key, None)
+
+    def digest(self, scope: str) -> int:
+        """Return a hash over keys and versions of one scope, as a signed 63-bit number."""
+        total = 0
+        for record in self._records.values():
+            if record.scope == scope:
+                total ^= xxhash.xxh64_intdigest(f"{record.key}\x00{record.version}".encode())
+        return total >> 1
+
+    def versions(self, scope: str) -> dict[str, int]:
+        """Return the versions by key of one scope."""
+        return {r.key: r.version for r in self._records.values() if r.scope == scope}
+
+    def newer_than(self, scope: str, versions: Mapping[str, int]) -> list[Record]:
+        """Return the records of one scope that are newer here than the versions given."""
+        mine = [r for r in self._records.values() if r.scope == scope]
+        return [r for r in mine if r.version > versions.get(r.key, -1)]
+
+    def wanted(self, scope: str, versions: Mapping[str, int]) -> list[str]:
+        """Return the keys that are newer in the versions given than here."""
+        mine = self.versions(scope)
+        return [key for key, version in versions.items() if version > mine.get(key, -1)]
+
+    def scopes(self) -> Iterable[str]:
+        """Return the scopes that this VM keeps."""
+        return self._scopes
--- /dev/null
+++ b/gypsumwind/core/table.py
@@ -0,0 +1,299 @@
+"""The table: one document per service, with a row per region and the service's instances."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from gypsumwind.core.shifts import Shift, steady
+from gypsumwind.errors import TableError
+
+MAX_WEIGHT = 1_000_000.0
+MAX_SLOTS = 1_000_000
+HISTORY_LENGTH = 64
+
+CellValue = float | int | str
+
+
+def _weight(text: str) -> float:
+    value = _number(text)
+    if not 0 <= value <= MAX_WEIGHT:
+        raise ValueError(f"{text} is not a weight from 0 to {MAX_WEIGHT:g}")
+    return value
+
+
+def _number(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not a number") from None
+    if value != value:
+        raise ValueError(f"{text!r} is not a number")
+    return value
+
+
+def _slots(text: str) -> int:
+    if not str(text).strip().isdecimal() or int(text) > MAX_SLOTS:
+        raise ValueError(f"{text} is not a whole number of slots from 0")
+    return int(text)
+
+
+def _cap(text: str) -> float:
+    value = _number(text)
+    if not 0 < value <= MAX_WEIGHT:
+        raise ValueError(f"{text} is not a change of weight a minute above 0")
+    return value
+
+
+def _bias(text: str) -> float:
+    value = _number(text)
+    if not 0 < value <= 1000:
+        raise ValueError(f"{text} is not a factor above 0 and up to 1000")
+    return value
+
+
+def _statuses(text: str) -> str:
+    parts = str(text).split()
+    for part in parts:
+        if not (part.isdecimal() and 400 <= int(part) <= 599):
+            raise ValueError(f"{part} is not an HTTP status from 400 to 599")
+    return " ".join(parts)
+
+
+def _methods(text: str) -> str:
+    parts = str(text).upper().split()
+    for part in parts:
+        if not part.isalpha():
+            raise ValueError(f"{part} is not an HTTP method")
+    return " ".join(parts)
+
+
+@dataclass(slots=True, frozen=True)
+class Column:
+    """A column of the table: its parser, which raises ValueError, and its default."""
+
+    name: str
+    parse: Callable[[str], CellValue]
+    default: CellValue
+    help: str
+
+
+COLUMNS: tuple[Column, ...] = (
+    Column("weight", _weight, 0.0, "share of the service's traffic drawn to the region"),
+    Column("limit", _slots, 0, "slots lent to callers of other regions, at most"),
+    Column("reserve", _slots, 0, "slots that only class high may use"),
+    Column("shift_cap", _cap, 60.0, "greatest change of the weight in one minute"),
+    Column("local_bias", _bias, 1.0, "factor on the weight for callers of the region itself"),
+    Column("repeatable", _methods, "GET HEAD OPTIONS", "methods that may be run twice"),
+    Column("not_run_statuses", _statuses, "", "answers that say the upstream ran nothing"),
+)
+COLUMN_BY_NAME = {column.name: column for column in COLUMNS}
+
+
+@dataclass(slots=True, frozen=True)
+class Cell:
+    """A value with the generation that set it and, for weights, the ramp towards it."""
+
+    value: CellValue
+    stamp: int = 0
+    edit_id: str = ""
+    shift: Shift | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Instance:
+    """An upstream instance: its availability zone, `ip:port` address and slots."""
+
+    name: str
+    zone: str
+    address: str
+    slots: int
+    draining: bool = False
+    stamp: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class EditRecord:
+    """An entry of the history: who set which cell, from what, to what, and when."""
+
+    edit_id: str
+    author: str
+    at: float
+    generation: int
+    place: str
+    before: str
+    after: str
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """The typed values of one row, as decisions read them."""
+
+    region: str
+    weight: Shift
+    limit: int
+    reserve: int
+    shift_cap: float
+    local_bias: float
+    repeatable: frozenset[str]
+    not_run_statuses: frozenset[int]
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceTable:
+    """One service's part of the table at one generation; generations only rise."""
+
+    service: str
+    generation: int = 0
+    cells: Mapping[str, Mapping[str, Cell]] = field(default_factory=dict)
+    instances: Mapping[str, Instance] = field(default_factory=dict)
+    history: tuple[EditRecord, ...] = ()
+
+    def cell(self, region: str, column: str) -> Cell:
+        """Return a cell, or the column's default where the row lacks it."""
+        found = self.cells.get(region, {}).get(column)
+        return found if found is not None else Cell(COLUMN_BY_NAME[column].default)
+
+    def row(self, region: str) -> Row:
+        """Return the typed row of `region`."""
+        weight = self.cell(region, "weight")
+        return Row(
+            region=region,
+            weight=weight.shift or steady(float(weight.value)),
+            limit=int(self.cell(region, "limit").value),
+            reserve=int(self.cell(region, "reserve").value),
+            shift_cap=float(self.cell(region, "shift_cap").value),
+            local_bias=float(self.cell(region, "local_bias").value),
+            repeatable=frozenset(str(self.cell(region, "repeatable").value).split()),
+            not_run_statuses=frozenset(
+                int(s) for s in str(self.cell(region, "not_run_statuses").value).split()
+            ),
+        )
+
+    def zone_instances(self, zone: str) -> list[Instance]:
+        """Return the instances of one availability zone."""
+        return [inst for inst in self.instances.values() if inst.zone == zone]
+
+    def has_edit(self, edit_id: str) -> bool:
+        """Tell whether an edit is part of this document."""
+        return any(record.edit_id == edit_id for record in self.history)
+
+
+@dataclass(slots=True, frozen=True)
+class Places:
+    """Zones with their regions, links between regions in bytes a second, and draining VMs."""
+
+    generation: int = 0
+    zones: Mapping[str, str] = field(default_factory=dict)
+    links: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    draining_vms: frozenset[str] = frozenset()
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone, or an empty text for an unknown zone."""
+        return self.zones.get(zone, "")
+
+    def link_budget(self, one: str, other: str) -> float | None:
+        """Return the bytes a second of a pair of regions each way, or None if not limited."""
+        return self.links.get((min(one, other), max(one, other)))
+
+
+def region_instances(table: ServiceTable, places: Places, region: str) -> list[Instance]:
+    """Return the instances of a service in one region."""
+    return [i for i in table.instances.values() if places.region_of(i.zone) == region]
+
+
+def table_to_json(table: ServiceTable) -> dict[str, Any]:
+    """Return the document that the platform's store keeps for a service."""
+    return {
+        "service": table.service,
+        "generation": table.generation,
+        "rows": {
+            region: {name: _cell_to_json(cell) for name, cell in cells.items()}
+            for region, cells in table.cells.items()
+        },
+        "instances": [
+            {
+                "name": i.name,
+                "zone": i.zone,
+                "address": i.address,
+                "slots": i.slots,
+                "draining": i.draining,
+                "stamp": i.stamp,
+            }
+            for i in table.instances.values()
+        ],
+        "history": [
+            {name: getattr(record, name) for name in EditRecord.__slots__}
+            for record in table.history
+        ],
+    }
+
+
+def _cell_to_json(cell: Cell) -> dict[str, Any]:
+    doc: dict[str, Any] = {"value": cell.value, "stamp": cell.stamp, "edit": cell.edit_id}
+    if cell.shift is not None:
+        shift = cell.shift
+        doc["shift"] = [shift.from_weight, shift.to_weight, shift.start, shift.end]
+    return doc
+
+
+def table_from_json(doc: Mapping[str, Any]) -> ServiceTable:
+    """Read a service's document; TableError names what is wrong with it."""
+    try:
+        return ServiceTable(
+            service=str(doc["service"]),
+            generation=int(doc["generation"]),
+            cells={
+                region: {name: _cell_from_json(name, cell) for name, cell in cells.items()}
+                for region, cells in doc["rows"].items()
+            },
+            instances={i["name"]: _instance_from_json(i) for i in doc["instances"]},
+            history=tuple(EditRecord(**record) for record in doc.get("history", ())),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise TableError(f"table document: {type(exc).__name__}: {exc}") from exc
+
+
+def _cell_from_json(name: str, doc: Mapping[str, Any]) -> Cell:
+    column = COLUMN_BY_NAME.get(name)
+    value = column.parse(str(doc["value"])) if column else doc["value"]
+    shift = Shift(*map(float, doc["shift"])) if "shift" in doc else None
+    return Cell(value, int(doc.get("stamp", 0)), str(doc.get("edit", "")), shift)
+
+
+def _instance_from_json(doc: Mapping[str, Any]) -> Instance:
+    return Instance(
+        name=str(doc["name"]),
+        zone=str(doc["zone"]),
+        address=str(doc["address"]),
+        slots=_slots(str(doc["slots"])),
+        draining=bool(doc.get("draining", False)),
+        stamp=int(doc.get("stamp", 0)),
+    )
+
+
+def places_to_json(places: Places) -> dict[str, Any]:
+    """Return the document that the platform's store keeps for the places."""
+    return {
+        "generation": places.generation,
+        "zones": dict(places.zones),
+        "links": [[one, other, rate] for (one, other), rate in places.links.items()],
+        "draining_vms": sorted(places.draining_vms),
+    }
+
+
+def places_from_json(doc: Mapping[str, Any]) -> Places:
+    """Read the places document; TableError names what is wrong with it."""
+    try:
+        links = {
+            (min(one, other), max(one, other)): float(rate) for one, other, rate in doc["links"]
+        }
+        draining = frozenset(map(str, doc.get("draining_vms", ())))
+        return Places(int(doc["generation"]), dict(doc["zones"]), links, draining)
+    except (KeyError, TypeError, ValueError) as exc:
+        raise TableError(f"places document: {type(exc).__name__}: {exc}") from exc
+
+
+def with_history(table: ServiceTable, records: list[EditRecord]) -> ServiceTable:
+    """Return the table with history entries added and the oldest dropped."""
+    history = (*table.history, *records)
+    return replace(table, history=history[-HISTORY_LENGTH:])
--- /dev/null
+++ b/gypsumwind/daemon.py
@@ -0,0 +1,250 @@
+"""The daemon: puts actors, tasks and servers together, and stops without harm to callers."""
+
+import random
+import signal
+import socket
+import threading
+import time
+from contextlib import ExitStack
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.actors import GateActor, HomeActor, MembersActor, RecordsActor
+from gypsumwind.board import Board
+from gypsumwind.claims import KeyClaims
+from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
+from gypsumwind.gates import Gate
+from gypsumwind.gossip import GossipTask, SpreadTask
+from gypsumwind.handoffs import Handoffs
+from gypsumwind.holds import HoldsTask
+from gypsumwind.homes import Home, HomeParts
+from gypsumwind.log import Log
+from gypsumwind.metrics import Metrics
+from gypsumwind.origins import Origin
+from gypsumwind.pages import CallerPages, HandoffPages, Parts
+from gypsumwind.peers import PeerError, Peers, PeerServer, PeerService, ProbeListener
+from gypsumwind.probes import HealthTask
+from gypsumwind.servers import Server
+from gypsumwind.settings import Settings
+from gypsumwind.stores import HttpStore
+from gypsumwind.tasks import Task
+from gypsumwind.utils import monotonic, wall
+from gypsumwind.watchers import TableWatch, VmListWatch
+
+log = Log("daemon")
+
+TICK_S = 0.1
+POLL_S = 0.1
+JOIN_RETRY_S = 0.5
+
+
+class TickTask(Task):
+    """Sends Tick to the actors."""
+
+    def __init__(self, actors: list[pykka.ActorRef]) -> None:
+        super().__init__("tick", TICK_S)
+        self._actors = actors
+
+    def step(self) -> None:
+        """Tell every actor that time has passed."""
+        for actor in self._actors:
+            actor.tell(msg.Tick())
+
+
+class JoinTask(Task):
+    """Reads the records of every seed that answers, then lets this VM claim holds."""
+
+    def __init__(
+        self, cfg: Settings, gossip: GossipTask, watch: TableWatch, joined: threading.Event
+    ) -> None:
+        super().__init__("join", JOIN_RETRY_S)
+        self._cfg = cfg
+        self._gossip = gossip
+        self._watch = watch
+        self._joined = joined
+
+    def step(self) -> None:
+        """Try the seeds; joined once one has answered or the store has been read."""
+        if self._joined.is_set():
+            return
+        answered = [self._sync(seed) for seed in self._seeds()]
+        if any(answered) or self._watch.loaded:
+            self._joined.set()
+            log.info("joined", seeds=len(answered), answered=sum(answered))
+
+    def _seeds(self) -> list[Endpoint]:
+        mine = (self._cfg.advertise_ip, self._cfg.peer_port)
+        return [
+            Endpoint(seed.ip, 0, 0, seed.peer_port)
+            for seed in self._cfg.seeds
+            if (seed.ip, seed.peer_port) != mine
+        ]
+
+    def _sync(self, endpoint: Endpoint) -> bool:
+        try:
+            self._gossip.sync(endpoint)
+        except PeerError:
+            return False
+        return True
+
+
+class DrainTask(Task):
+    """Follows the places document: a VM that it lists as draining leaves, and may come back."""
+
+    def __init__(self, daemon: "Daemon") -> None:
+        super().__init__("drain", POLL_S)
+        self._daemon = daemon
+
+    def step(self) -> None:
+        """Leave or come back as the operators say."""
+        self._daemon.follow_drain()
+
+
+class Daemon:
+    """One entry VM's process; a context manager that serves while it is open."""
+
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._boot = int(wall() * 1000)
+        self._rng = random.Random()
+        self._stack = ExitStack()
+        self._metrics = Metrics(cfg.tenants)
+        self._me = Member(cfg.vm, cfg.zone, self._endpoint(), self._boot, State.ALIVE)
+        self._board = Board(self._me)
+        self._joined = threading.Event()
+        self._stopping = False
+
+    def _endpoint(self) -> Endpoint:
+        cfg = self._cfg
+        return Endpoint(cfg.advertise_ip, cfg.caller_port, cfg.handoff_port, cfg.peer_port)
+
+    def __enter__(self) -> "Daemon":
+        try:
+            self._start()
+        except BaseException:
+            self._close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        self._stack.close()
+        pykka.ActorRegistry.stop_all(timeout=2)
+
+    def _start(self) -> None:
+        cfg, board = self._cfg, self._board
+        self._store = HttpStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
+        self._spread = SpreadTask(cfg, board, self._rng)
+        self._start_actors()
+        self._gossip = GossipTask(cfg, self._boot, board, self._records, self._rng)
+        self._watch = TableWatch(cfg, board, self._store, self._records, self._rng)
+        self._start_servers()
+        self._start_tasks()
+        log.info("started", vm=cfg.vm, zone=cfg.zone, ip=cfg.ip, incarnation=self._boot)
+
+    def _start_actors(self) -> None:
+        cfg, board = self._cfg, self._board
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((cfg.ip, cfg.peer_port))
+        self._gate = GateActor.start(cfg, board, self._metrics, self._discharge, self._rng)
+        self._records = RecordsActor.start(board, cfg.zone, self._gate, self._spread.put)
+        self._home = HomeActor.start(cfg.key_capacity)
+        seeds = [Endpoint(s.ip, 0, 0, s.peer_port) for s in cfg.seeds]
+        timing = Timing(cfg.probe_s, cfg.probe_ack_s, cfg.suspect_s)
+        membership = Membership(self._me, seeds, timing, self._rng, monotonic())
+        self._members = MembersActor.start(membership, sock, board)
+        self._stack.enter_context(ProbeListener(sock, self._members))
+
+    def _discharge(self, instance: str) -> None:
+        """Tell the new owner of an instance that one of our requests on it has finished."""
+        hold = self._board.holds.known.get(instance)
+        member = self._board.members.members.get(hold.holder) if hold else None
+        if member is None:
+            return
+        threading.Thread(
+            target=self._send_discharge, args=(member.endpoint, instance), daemon=True
+        ).start()
+
+    def _send_discharge(self, to: Endpoint, instance: str) -> None:
+        try:
+            Peers(self._cfg.ip, self._cfg.peer_timeout_s).discharge(to, instance)
+        except PeerError:
+            return
+
+    def _start_servers(self) -> None:
+        cfg, board, rng = self._cfg, self._board, self._rng
+        handoffs = Handoffs(cfg, self._metrics)
+        gate = Gate(cfg, board, self._gate, handoffs, self._metrics, rng)
+        origin = Origin(cfg, board, gate, handoffs, self._metrics, rng)
+        claims = KeyClaims(cfg, self._boot, self._store, rng)
+        home_parts = HomeParts(board, self._home, origin, handoffs, claims, self._metrics)
+        home = Home(cfg, self._boot, home_parts, rng)
+        parts = Parts(board, self._gate, gate, origin, home, self._metrics, self._ready)
+        self._callers = CallerPages(cfg, parts, rng)
+        self._handoffs = HandoffPages(cfg, parts, rng)
+        service = PeerService(cfg, board, self._boot, self._records, self._gate)
+        enter = self._stack.enter_context
+        enter(PeerServer(cfg.ip, cfg.peer_port, service))
+        threads = cfg.threads
+        enter(Server("handoff", cfg.ip, cfg.handoff_port, threads, self._handoffs.handle))
+        enter(Server("caller", cfg.ip, cfg.caller_port, threads, self._callers.handle))
+
+    def _ready(self) -> bool:
+        return self._joined.is_set() and bool(self._board.places.zones)
+
+    def _start_tasks(self) -> None:
+        cfg, board = self._cfg, self._board
+        actors: list[pykka.ActorRef] = [self._members, self._gate, self._home]
+        tasks: list[Task] = [
+            TickTask(actors),
+            self._spread,
+            self._gossip,
+            self._watch,
+            VmListWatch(cfg, board, self._store, self._records),
+            JoinTask(cfg, self._gossip, self._watch, self._joined),
+            HoldsTask(cfg, board, self._gate, self._metrics, self._joined, self._rng),
+            HealthTask(cfg, board, self._gate),
+            DrainTask(self),
+        ]
+        for task in tasks:
+            self._stack.enter_context(task)
+
+    def follow_drain(self) -> None:
+        """Leave while the places document says so or the process stops; else come back."""
+        wanted = self._stopping or self._cfg.vm in self._board.places.draining_vms
+        if wanted == self._board.leaving:
+            return
+        self._board.leaving = wanted
+        self._members.tell(msg.Leave(State.LEAVING) if wanted else msg.Resume())
+        log.info("leaving" if wanted else "back")
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
+        ended = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: ended.set())
+        ended.wait()
+        self.stop()
+
+    def stop(self) -> None:
+        """Leave: out of look-ups, wait for cached ones, hand over, finish what is in flight."""
+        self._stopping = True
+        self.follow_drain()
+        deadline = monotonic() + self._cfg.stop_s
+        look_ups_expire = monotonic() + 2 * self._cfg.entry_ttl_s
+        while monotonic() < deadline:
+            if monotonic() >= look_ups_expire and self._idle():
+                break
+            time.sleep(POLL_S)
+        self._members.ask(msg.Leave(State.LEFT), timeout=msg.ASK_TIMEOUT_S)
+        log.info("stopped", in_flight=self._in_flight())
+
+    def _idle(self) -> bool:
+        heirs = self._board.members.live(self._cfg.zone)
+        return self._in_flight() == 0 and not (self._board.holds.held and heirs)
+
+    def _in_flight(self) -> int:
+        return self._callers.in_flight.count + self._handoffs.in_flight.count
--- /dev/null
+++ b/gypsumwind/entries.py
@@ -0,0 +1,66 @@
+"""The look-up: which entry VMs a caller may use for a service, and until when."""
+
+import random
+
+from gypsumwind.board import Board
+from gypsumwind.core.idempotency import KeyPrefix
+from gypsumwind.core.membership import Member
+from gypsumwind.homes import Home
+from gypsumwind.settings import Settings
+from gypsumwind.utils import wall
+
+
+def entries_page(
+    cfg: Settings, board: Board, home: Home, service: str, rng: random.Random
+) -> dict | None:
+    """Return the look-up answer, None for a service that is not in the table.
+
+    Near VMs that own instances of the service come first, then near VMs, then those of the
+    region, then others. Each near entry has a prefix for idempotency keys whose home it is.
+    """
+    if service not in board.tables:
+        return None
+    me = board.members.me
+    members = board.members.live() + ([] if board.leaving else [me])
+    rng.shuffle(members)
+    members.sort(key=lambda m: _distance(cfg, board, service, m))
+    entries = [_entry(cfg, board, home, member) for member in members]
+    prefixes = [e["key_prefix"] for e in entries if e["key_prefix"]]
+    return {
+        "service": service,
+        "entries": entries,
+        "expires": wall() + cfg.entry_ttl_s,
+        "ttl_s": cfg.entry_ttl_s,
+        "key_prefix": prefixes[0] if prefixes else home.prefix(),
+    }
+
+
+def _distance(cfg: Settings, board: Board, service: str, member: Member) -> int:
+    if member.zone == cfg.zone:
+        return 0 if _owns(cfg, board, service, member.vm) else 1
+    return 2 if board.places.region_of(member.zone) == cfg.region else 3
+
+
+def _owns(cfg: Settings, board: Board, service: str, vm: str) -> bool:
+    if vm == cfg.vm:
+        return service in board.holds.headroom
+    load = board.vms.get(vm)
+    return load is not None and service in load.headroom
+
+
+def _entry(cfg: Settings, board: Board, home: Home, member: Member) -> dict:
+    return {
+        "vm": member.vm,
+        "zone": member.zone,
+        "url": f"http://{member.endpoint.ip}:{member.endpoint.caller_port}",
+        "key_prefix": _prefix(cfg, board, home, member),
+    }
+
+
+def _prefix(cfg: Settings, board: Board, home: Home, member: Member) -> str:
+    if member.vm == cfg.vm:
+        return home.prefix()
+    load = board.vms.get(member.vm)
+    if load is None:
+        return ""
+    return KeyPrefix(member.vm, load.incarnation, int(wall() + cfg.key_ttl_s)).text()
--- /dev/null
+++ b/gypsumwind/gates.py
@@ -0,0 +1,206 @@
+"""The gate of a zone: finds the VM that owns a fitting instance, and sends to the instance."""
+
+import random
+import time
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import replace
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.actors import permit_future
+from gypsumwind.board import Board, VmLoad
+from gypsumwind.calls import H_DRAINING, Answer, Call
+from gypsumwind.core.admission import Granted, PermitRequest, Reason
+from gypsumwind.core.health import Result
+from gypsumwind.core.table import Row
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.gossip import live_loads
+from gypsumwind.handoffs import HOP_OWNER, Handoffs
+from gypsumwind.metrics import Metrics
+from gypsumwind.senders import Outgoing, Sender, Target
+from gypsumwind.settings import Settings
+from gypsumwind.utils import jittered, monotonic, new_id, split_address
+
+MAX_OWNERS = 3
+MAX_INSTANCES = 3
+RETRY_AFTER_S = 1.0
+SERVER_FAILURES = frozenset((500, 502, 503, 504))
+
+
+class Gate:
+    """Serves calls with the upstreams of this zone, here or at another owner of the zone."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        board: Board,
+        gate: pykka.ActorRef,
+        handoffs: Handoffs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._board = board
+        self._gate = gate
+        self._handoffs = handoffs
+        self._metrics = metrics
+        self._sender = Sender(cfg.ip, cfg.connect_timeout_s)
+        self._rng = rng
+
+    def serve(self, call: Call) -> Answer:
+        """Serve a call at the owner with the most room; RequestError when none can."""
+        tried: set[str] = set()
+        last = self._no_capacity(Reason.NO_INSTANCE)
+        for _ in range(MAX_OWNERS):
+            vm = self._choose_owner(call, tried)
+            if vm is None:
+                break
+            tried.add(vm)
+            try:
+                return self._serve_at(vm, call)
+            except RequestError as exc:
+                if exc.verdict is not Verdict.NOT_RUN or not call.body.replayable:
+                    raise
+                last = exc
+        raise last
+
+    def _serve_at(self, vm: str, call: Call) -> Answer:
+        if vm == self._cfg.vm:
+            return self.serve_owned(call)
+        member = self._board.members.get(vm)
+        if member is None:
+            raise self._no_capacity(Reason.NO_INSTANCE)
+        self._metrics.event("hop-to-owner")
+        return self._handoffs.send(member, call.with_attempt(new_id()), HOP_OWNER)
+
+    def _choose_owner(self, call: Call, tried: set[str]) -> str | None:
+        """Return this VM while it has room, else the owner with the most, else any owner."""
+        loads = [load for load in self._loads() if load.vm not in tried]
+        owners = [load for load in loads if call.service in load.headroom]
+        if not owners:
+            return None
+        room = {load.vm: self._room(load, call) for load in owners}
+        if room.get(self._cfg.vm, 0) > 0:
+            return self._cfg.vm
+        return max(room, key=lambda vm: (room[vm], vm == self._cfg.vm, self._rng.random()))
+
+    def _loads(self) -> list[VmLoad]:
+        """Return the loads of the zone's VMs, this VM's as of now."""
+        others = [m for m in live_loads(self._board, self._cfg.zone) if m.vm != self._cfg.vm]
+        own = VmLoad(self._cfg.vm, 0, False, (), self._board.holds.headroom, {})
+        return [*others, own]
+
+    def _room(self, load: VmLoad, call: Call) -> int:
+        room = load.headroom[call.service]
+        if call.origin_region != self._cfg.region:
+            return room.free_lent
+        return room.free_high if call.priority == 0 else room.free
+
+    def serve_owned(self, call: Call) -> Answer:
+        """Serve a call with an instance that this VM owns."""
+        last = self._no_capacity(Reason.NO_INSTANCE)
+        for _ in range(MAX_INSTANCES):
+            permit = self._permit(call)
+            try:
+                return self._send(call, permit)
+            except RequestError as exc:
+                if exc.verdict is not Verdict.NOT_RUN or not call.body.replayable:
+                    raise
+                last = exc
+                call = replace(call, exclude=call.exclude | {permit.instance})
+        raise last
+
+    def _permit(self, call: Call) -> Granted:
+        request = PermitRequest(
+            attempt=new_id(),
+            service=call.service,
+            priority=call.priority,
+            foreign=call.origin_region != self._cfg.region,
+            deadline=call.deadline,
+            exclude=call.exclude,
+        )
+        fut = permit_future(self._gate, request)
+        try:
+            answer = fut.result(timeout=call.remaining_s())
+        except FutureTimeoutError:
+            self._gate.tell(msg.CancelPermit(request.attempt))
+            raise self._no_capacity(Reason.LATE) from None
+        if isinstance(answer, Granted):
+            return answer
+        raise self._no_capacity(answer.reason, answer.retry_after_s)
+
+    def _no_capacity(self, reason: Reason, retry_after_s: float | None = None) -> RequestError:
+        wait = retry_after_s or jittered(RETRY_AFTER_S, self._rng)
+        return RequestError(Code.NO_CAPACITY, reason.value, Verdict.NOT_RUN, 503, wait)
+
+    def _send(self, call: Call, permit: Granted) -> Answer:
+        """Send to the instance; the slot goes back when the answer has ended."""
+        started = time.monotonic()
+        try:
+            if monotonic() >= self._board.fence_until:
+                raise self._no_capacity(Reason.LAPSED)
+            answer = self._sender.send(_target(permit), self._outgoing(call))
+        except RequestError as exc:
+            self._finish(permit, _result_of(exc), started)
+            raise
+        except BaseException:
+            self._finish(permit, Result.CANCELLED, started)
+            raise
+        return self._judge(call, permit, answer, started)
+
+    def _judge(self, call: Call, permit: Granted, answer: Answer, started: float) -> Answer:
+        draining = any(n.lower() == H_DRAINING and v == "true" for n, v in answer.headers)
+        if answer.status in self._row(call).not_run_statuses:
+            answer.close()
+            self._finish(permit, Result.SHED, started, draining)
+            raise RequestError(
+                Code.UPSTREAM_REFUSED,
+                f"{permit.instance} answered {answer.status}, which says it ran nothing",
+                Verdict.NOT_RUN,
+                503,
+                jittered(RETRY_AFTER_S, self._rng),
+            )
+        failed = answer.status in SERVER_FAILURES
+        end = Result.FAILED if failed else Result.OK
+        answer.instance = permit.instance
+        answer.on_end.append(
+            lambda whole: self._finish(
+                permit, end if whole else Result.CANCELLED, started, draining
+            )
+        )
+        return answer
+
+    def _outgoing(self, call: Call) -> Outgoing:
+        headers = call.hop_headers("upstream")
+        return Outgoing(
+            method=call.method,
+            path=call.path,
+            headers=headers,
+            body=call.body,
+            deadline=call.deadline,
+            repeatable=call.method in self._row(call).repeatable,
+        )
+
+    def _row(self, call: Call) -> Row:
+        return self._board.tables[call.service].row(self._cfg.region)
+
+    def _finish(
+        self, permit: Granted, result: Result, started: float, draining: bool = False
+    ) -> None:
+        latency_s = time.monotonic() - started
+        self._gate.tell(msg.FinishPermit(permit.attempt, result, latency_s, draining))
+
+
+def _target(permit: Granted) -> Target:
+    ip, port = split_address(permit.address)
+    return Target(ip, port, Code.UPSTREAM_UNREACHABLE, Code.UPSTREAM_FAILED)
+
+
+def _result_of(exc: RequestError) -> Result:
+    if exc.code is Code.UPSTREAM_UNREACHABLE:
+        return Result.UNREACHABLE
+    if exc.code in (Code.UPSTREAM_FAILED, Code.DEADLINE_EXCEEDED):
+        return Result.FAILED
+    return Result.CANCELLED
--- /dev/null
+++ b/gypsumwind/gypsumwind.thrift
@@ -0,0 +1,117 @@
+// Messages between daemons; read at run time, so the build needs no generator.
+
+struct Endpoint {
+  1: string ip
+  2: i32 caller_port
+  3: i32 handoff_port
+  4: i32 peer_port
+}
+
+struct Member {
+  1: string vm
+  2: string zone
+  3: Endpoint endpoint
+  4: i64 incarnation
+  5: i32 state
+}
+
+// A membership probe or acknowledgement, sent over UDP.
+struct Datagram {
+  1: bool is_ack
+  2: i64 seq
+  3: Member sender
+  4: list<Member> updates
+  5: optional Endpoint target
+}
+
+struct Record {
+  1: string key
+  2: i64 version
+  3: string scope
+  4: binary payload
+}
+
+struct ScopeDigest {
+  1: string scope
+  2: i64 digest
+}
+
+struct ScopeVersions {
+  1: string scope
+  2: map<string, i64> versions
+}
+
+struct Wanted {
+  1: string scope
+  2: list<string> keys
+}
+
+struct Hold {
+  1: string instance
+  2: string holder
+  3: i64 epoch
+}
+
+struct ClaimReply {
+  1: string instance
+  2: bool granted
+  3: string holder
+  4: i64 epoch
+}
+
+// Replies to claims, with the live VMs of the zone by the answering VM's view.
+struct ClaimAnswer {
+  1: list<ClaimReply> replies
+  2: list<string> live
+}
+
+// A request that is in flight at a hand-over.
+struct UsageLeft {
+  1: i64 remaining_ms
+  2: bool foreign
+}
+
+struct Headroom {
+  1: i32 slots
+  2: i32 in_flight
+  3: i32 free_high
+  4: i32 free
+  5: i32 free_lent
+}
+
+struct HoldLoad {
+  1: string instance
+  2: i64 epoch
+  3: i32 in_flight
+  4: double latest_deadline
+}
+
+// Record vm/<vm>, kept within its zone. Deadlines are epoch seconds.
+struct VmDigest {
+  1: string vm
+  2: i64 incarnation
+  3: bool leaving
+  4: list<HoldLoad> holds
+  5: map<string, Headroom> headroom
+  6: map<string, i64> generations
+}
+
+// Record zone/<zone>, kept everywhere.
+struct ZoneDigest {
+  1: string zone
+  2: double at
+  3: i32 vms
+  4: map<string, Headroom> headroom
+  5: map<string, i64> generations
+}
+
+service Peer {
+  i64 ping()
+  bool reach(1: Endpoint endpoint)
+  list<ScopeVersions> compare(1: list<ScopeDigest> digests)
+  list<Record> exchange(1: list<Record> records, 2: list<Wanted> wanted)
+  ClaimAnswer claim(1: string claimant, 2: list<Hold> claims)
+  bool hand_over(1: Hold hold, 2: list<UsageLeft> usages)
+  void discharge(1: string instance)
+  bool void_attempt(1: string attempt, 2: i64 remaining_ms, 3: i64 incarnation)
+}
--- /dev/null
+++ b/gypsumwind/homes.py
@@ -0,0 +1,196 @@
+"""The home of idempotency keys: a key runs at most once, and its outcome is remembered."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.calls import REPLAY_BYTES, Answer, Call
+from gypsumwind.claims import KeyClaims
+from gypsumwind.core.idempotency import Begin, KeyPrefix, parse_prefix
+from gypsumwind.core.membership import State
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.handoffs import HOP_HOME, Handoffs
+from gypsumwind.metrics import Metrics
+from gypsumwind.origins import Origin
+from gypsumwind.settings import Settings
+from gypsumwind.utils import jittered, new_id, wall
+
+RUNNING_RETRY_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class HomeParts:
+    """What a home works with."""
+
+    board: Board
+    actor: pykka.ActorRef
+    origin: Origin
+    handoffs: Handoffs
+    claims: KeyClaims
+    metrics: Metrics
+
+
+class Home:
+    """Serves keyed calls: here when this VM is the key's home, else at the home."""
+
+    def __init__(self, cfg: Settings, boot: int, parts: HomeParts, rng: random.Random) -> None:
+        self._cfg = cfg
+        self._boot = boot
+        self._parts = parts
+        self._rng = rng
+
+    def prefix(self) -> str:
+        """Return a key prefix whose home is this process."""
+        expires = int(wall() + self._cfg.key_ttl_s)
+        return KeyPrefix(self._cfg.vm, self._boot, expires).text()
+
+    def serve(self, call: Call) -> Answer:
+        """Serve a keyed call, at most once however often and wherever it arrives."""
+        prefix = parse_prefix(call.key)
+        if prefix is None:
+            prefix = self._parts.claims.home_of(call.key)
+        if prefix.vm != self._cfg.vm:
+            return self._forward(prefix, call)
+        return self.serve_here(call, prefix)
+
+    def _forward(self, prefix: KeyPrefix, call: Call) -> Answer:
+        member = self._parts.board.members.get(prefix.vm)
+        if member is None or member.state >= State.DEAD:
+            raise _lost(f"the key's home {prefix.vm} cannot be reached")
+        self._parts.metrics.event("hop-to-home")
+        try:
+            return self._parts.handoffs.send(member, call.with_attempt(new_id()), HOP_HOME)
+        except RequestError as exc:
+            if exc.code in (Code.PEER_UNREACHABLE, Code.ATTEMPT_VOIDED):
+                raise _lost(f"the key's home {prefix.vm} does not answer") from exc
+            raise
+
+    def serve_here(self, call: Call, prefix: KeyPrefix | None = None) -> Answer:
+        """Serve a keyed call as its home."""
+        prefix = prefix or parse_prefix(call.key) or self._parts.claims.home_of(call.key)
+        if (prefix.vm, prefix.incarnation) != (self._cfg.vm, self._boot):
+            raise _lost(f"the key's home {prefix.vm} was restarted since")
+        fingerprint = f"{call.service} {call.method} {call.path}"
+        message = msg.BeginKey(call.key, fingerprint, prefix.expires)
+        begin, outcome = msg.ask(self._parts.actor, message)
+        if begin is Begin.RUN:
+            return self._run(call, fingerprint)
+        if outcome is not None:
+            self._parts.metrics.event("key-replayed")
+            return _replay(outcome)
+        raise self._refusal(begin)
+
+    def early_verdict(self, key: str) -> Verdict:
+        """Return what may be said of a key that is turned away before its home has seen it.
+
+        An earlier copy of the request may have run: only the home can know that none has.
+        """
+        prefix = parse_prefix(key)
+        if prefix is None or (prefix.vm, prefix.incarnation) != (self._cfg.vm, self._boot):
+            return Verdict.MAY_HAVE_RUN
+        fresh = prefix.expires > wall() and not msg.ask(self._parts.actor, msg.KnowsKey(key))
+        return Verdict.NOT_RUN if fresh else Verdict.MAY_HAVE_RUN
+
+    def _refusal(self, begin: Begin) -> RequestError:
+        wait = jittered(RUNNING_RETRY_S, self._rng)
+        if begin is Begin.RUNNING:
+            text = "the key's first request is still running"
+            return RequestError(Code.KEY_RUNNING, text, Verdict.MAY_HAVE_RUN, 409, wait)
+        if begin is Begin.REUSED:
+            text = "the key was used for another request"
+            return RequestError(Code.BAD_REQUEST, text, Verdict.NOT_RUN, 422)
+        if begin is Begin.FULL:
+            text = "too many keys are remembered here"
+            return RequestError(Code.KEY_TABLE_FULL, text, Verdict.NOT_RUN, 503, wait)
+        text = "the key has expired; what became of it is no longer known"
+        return RequestError(Code.KEY_EXPIRED, text, Verdict.MAY_HAVE_RUN, 410)
+
+    def _run(self, call: Call, fingerprint: str) -> Answer:
+        actor = self._parts.actor
+        try:
+            answer = self._parts.origin.route(call)
+        except RequestError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                actor.tell(msg.ForgetKey(call.key))
+            else:
+                actor.tell(msg.FinishKey(call.key, _unknown(fingerprint)))
+            raise
+        except BaseException:
+            actor.tell(msg.FinishKey(call.key, _unknown(fingerprint)))
+            raise
+        return self._remember(call, fingerprint, answer)
+
+    def _remember(self, call: Call, fingerprint: str, answer: Answer) -> Answer:
+        """Keep a copy of a small answer for replay while it streams to the caller."""
+        recorder = _Recorder(answer.chunks)
+        answer.chunks = recorder.stream()
+
+        def finish(whole: bool) -> None:
+            body = recorder.rest() if not whole else recorder.body()
+            outcome = msg.StoredOutcome(
+                fingerprint, answer.status, tuple(answer.headers), body, ran=True
+            )
+            self._parts.actor.tell(msg.FinishKey(call.key, outcome))
+
+        answer.on_end.insert(0, finish)
+        return answer
+
+
+class _Recorder:
+    """Copies a stream, as long as it is small enough to be replayed."""
+
+    def __init__(self, chunks: Iterator[bytes]) -> None:
+        self._chunks = chunks
+        self._copy: bytearray | None = bytearray()
+
+    def stream(self) -> Iterator[bytes]:
+        """Yield the chunks and copy them."""
+        for chunk in self._chunks:
+            self._add(chunk)
+            yield chunk
+
+    def rest(self) -> bytes | None:
+        """Read on after the caller has gone, so that a repeat gets the whole answer."""
+        try:
+            while self._copy is not None:
+                chunk = next(self._chunks, None)
+                if chunk is None:
+                    break
+                self._add(chunk)
+        except RequestError:
+            self._copy = None
+        return self.body()
+
+    def body(self) -> bytes | None:
+        """Return the copy, None if it is not whole."""
+        return None if self._copy is None else bytes(self._copy)
+
+    def _add(self, chunk: bytes) -> None:
+        if self._copy is None:
+            return
+        self._copy.extend(chunk)
+        if len(self._copy) > REPLAY_BYTES:
+            self._copy = None
+
+
+def _replay(outcome: msg.StoredOutcome) -> Answer:
+    if not outcome.ran:
+        raise _lost("the key's first request may have run; its answer was lost")
+    if outcome.body is None:
+        text = f"the request ran with status {outcome.status}; its answer is not kept"
+        raise RequestError(Code.KEY_DONE, text, Verdict.MAY_HAVE_RUN, 409)
+    chunks = iter((outcome.body,)) if outcome.body else iter(())
+    return Answer(outcome.status, list(outcome.headers), chunks, lambda: None, len(outcome.body))
+
+
+def _unknown(fingerprint: str) -> msg.StoredOutcome:
+    return msg.StoredOutcome(fingerprint, 0, (), None, ran=False)
+
+
+def _lost(text: str) -> RequestError:
+    return RequestError(Code.KEY_HOME_LOST, text, Verdict.MAY_HAVE_RUN, 409)
--- /dev/null
+++ b/gypsumwind/origins.py
@@ -0,0 +1,154 @@
+"""The origin: chooses a zone by weight, headroom and reach, and retries what may be retried."""
+
+import random
+from dataclasses import replace
+
+from gypsumwind.board import Board
+from gypsumwind.calls import Answer, Call
+from gypsumwind.core.admission import Headroom
+from gypsumwind.core.buckets import RetryBudget
+from gypsumwind.core.choice import ZoneOption, order_zones
+from gypsumwind.core.table import ServiceTable
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.gates import Gate
+from gypsumwind.gossip import live_loads, sum_headroom
+from gypsumwind.handoffs import HOP_GATE, Handoffs
+from gypsumwind.metrics import Metrics
+from gypsumwind.settings import Settings
+from gypsumwind.utils import jittered, new_id, wall
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+LOAD_AGE_S = 10.0
+
+
+class Origin:
+    """Routes the calls that callers send to this VM."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        board: Board,
+        gate: Gate,
+        handoffs: Handoffs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._board = board
+        self._gate = gate
+        self._handoffs = handoffs
+        self._metrics = metrics
+        self._budget = RetryBudget()
+        self._rng = rng
+
+    def route(self, call: Call) -> Answer:
+        """Send a call to a zone that can serve it; RequestError carries the worst verdict."""
+        table = self._table(call.service)
+        zones = self._zones(table, call)
+        doubtful: RequestError | None = None
+        last = RequestError(
+            Code.NO_ROUTE,
+            "no zone with a weight for the service can be reached in time",
+            Verdict.NOT_RUN,
+            503,
+            jittered(RETRY_AFTER_S, self._rng),
+        )
+        for zone in zones[:MAX_ATTEMPTS]:
+            try:
+                answer = self._attempt(zone, call.with_attempt(new_id()))
+            except RequestError as exc:
+                last = exc
+                if exc.verdict is not Verdict.NOT_RUN:
+                    doubtful = exc
+                if not self._may_retry(table, call, exc):
+                    break
+                self._metrics.event("retry")
+                continue
+            self._budget.success()
+            return answer
+        raise self._final(doubtful, last)
+
+    def _final(self, doubtful: RequestError | None, last: RequestError) -> RequestError:
+        """An earlier attempt that may have run taints the verdict of the whole request."""
+        if doubtful is None or last.verdict is not Verdict.NOT_RUN:
+            return last
+        return RequestError(
+            last.code, last.message, Verdict.MAY_HAVE_RUN, last.status, last.retry_after_s
+        )
+
+    def _table(self, service: str) -> ServiceTable:
+        table = self._board.tables.get(service)
+        if table is None:
+            raise RequestError(
+                Code.UNKNOWN_SERVICE,
+                f"no service {service!r} in the table",
+                Verdict.NOT_RUN,
+                404,
+            )
+        return table
+
+    def _may_retry(self, table: ServiceTable, call: Call, exc: RequestError) -> bool:
+        if not call.body.replayable or exc.code is Code.DEADLINE_EXCEEDED:
+            return False
+        if exc.verdict is Verdict.NOT_RUN:
+            return True
+        repeatable = call.method in table.row(self._cfg.region).repeatable
+        return repeatable and exc.code is not Code.BAD_REQUEST and self._budget.take()
+
+    def _zones(self, table: ServiceTable, call: Call) -> list[str]:
+        now = wall()
+        options = [
+            option
+            for zone, region in self._board.places.zones.items()
+            if (option := self._option(table, call, zone, region, now)) is not None
+        ]
+        return [option.zone for option in order_zones(options, call.remaining_s(), self._rng)]
+
+    def _option(
+        self, table: ServiceTable, call: Call, zone: str, region: str, now: float
+    ) -> ZoneOption | None:
+        slots = sum(inst.slots for inst in table.zone_instances(zone))
+        region_slots = sum(
+            inst.slots
+            for inst in table.instances.values()
+            if self._board.places.region_of(inst.zone) == region
+        )
+        if not slots:
+            return None
+        row = table.row(region)
+        weight = row.weight.weight_at(now) * slots / region_slots
+        if region == self._cfg.region:
+            weight *= row.local_bias
+        free, known = self._free(table.service, call, zone, region, now)
+        reachable = zone == self._cfg.zone or bool(self._board.members.live(zone))
+        return ZoneOption(zone, weight, free if known else 1, reachable, 0.0)
+
+    def _free(
+        self, service: str, call: Call, zone: str, region: str, now: float
+    ) -> tuple[int, bool]:
+        """Return the free slots of a zone for a call, and whether anything is known of it."""
+        if zone == self._cfg.zone:
+            loads = live_loads(self._board, zone)
+            room = sum_headroom(loads).get(service, Headroom())
+        else:
+            load = self._board.zones.get(zone)
+            if load is None or now - load.at > LOAD_AGE_S:
+                return 0, False
+            room = load.headroom.get(service, Headroom())
+        if region != self._cfg.region:
+            return room.free_lent, True
+        return (room.free_high if call.priority == 0 else room.free), True
+
+    def _attempt(self, zone: str, call: Call) -> Answer:
+        call = replace(call, origin_region=self._cfg.region)
+        if zone == self._cfg.zone:
+            return self._gate.serve(call)
+        live = self._board.members.live(zone)
+        if not live:
+            raise RequestError(
+                Code.PEER_UNREACHABLE, f"no VM of {zone} is reached", Verdict.NOT_RUN, 503
+            )
+        self._metrics.event("hop-to-zone")
+        return self._handoffs.send(self._rng.choice(live), call, HOP_GATE)
--- /dev/null
+++ b/gypsumwind/pages.py
@@ -0,0 +1,279 @@
+"""What a daemon answers on its ports: calls, look-ups, and pages for operators."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.calls import (
+    H_ATTEMPT,
+    H_CLASS,
+    H_HOP,
+    H_KEY,
+    H_ORIGIN_REGION,
+    H_TENANT,
+    H_TIMEOUT,
+    Answer,
+    Call,
+    forwarded,
+)
+from gypsumwind.core.admission import Priority
+from gypsumwind.core.table import table_to_json
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.entries import entries_page
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.gates import Gate
+from gypsumwind.handoffs import HOP_GATE, HOP_HOME, HOP_OWNER
+from gypsumwind.homes import Home
+from gypsumwind.log import Log
+from gypsumwind.metrics import Metrics, histogram_rows, prometheus_text
+from gypsumwind.origins import Origin
+from gypsumwind.servers import CONTROL_THREADS, Exchange, InFlight
+from gypsumwind.settings import Settings
+from gypsumwind.statuses import status_page
+from gypsumwind.utils import jittered, monotonic
+
+log = Log("pages")
+
+CALL_PREFIX = "/v1/call/"
+TABLE_PREFIX = "/v1/table/"
+DEFAULT_TENANT = "-"
+BUSY_RETRY_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Parts:
+    """What the pages work with."""
+
+    board: Board
+    gate_actor: pykka.ActorRef
+    gate: Gate
+    origin: Origin
+    home: Home
+    metrics: Metrics
+    ready: Callable[[], bool]
+
+
+def read_call(cfg: Settings, ex: Exchange, service: str, path: str) -> Call:
+    """Read a call from a request; RequestError names the header that is wrong."""
+    headers = ex.headers
+    return Call(
+        service=service,
+        method=ex.method,
+        path=path,
+        headers=forwarded(headers),
+        body=ex.body,
+        priority=_priority(headers.get(H_CLASS, "normal")),
+        tenant=headers.get(H_TENANT, DEFAULT_TENANT),
+        deadline=monotonic() + _timeout_s(cfg, headers.get(H_TIMEOUT)),
+        origin_region=headers.get(H_ORIGIN_REGION, cfg.region),
+        key=headers.get(H_KEY, "").strip('"'),
+        attempt=headers.get(H_ATTEMPT, ""),
+    )
+
+
+def _priority(text: str) -> Priority:
+    try:
+        return Priority[text.upper()]
+    except KeyError:
+        raise _bad(f"{H_CLASS}: {text!r} is not high, normal or low") from None
+
+
+def _timeout_s(cfg: Settings, text: str | None) -> float:
+    if text is None:
+        return cfg.default_deadline_s
+    if not text.isdecimal() or int(text) == 0:
+        raise _bad(f"{H_TIMEOUT}: {text!r} is not a whole number of milliseconds from 1")
+    return min(int(text) / 1000.0, cfg.max_deadline_s)
+
+
+def _bad(text: str) -> RequestError:
+    return RequestError(Code.BAD_REQUEST, text, Verdict.NOT_RUN, 400)
+
+
+class CallerPages:
+    """The port for callers and operators."""
+
+    def __init__(self, cfg: Settings, parts: Parts, rng: random.Random) -> None:
+        self._cfg = cfg
+        self._parts = parts
+        self._rng = rng
+        self.in_flight = InFlight(cfg.threads - CONTROL_THREADS)
+        self._pages: dict[str, Callable[[Exchange], None]] = {
+            "/v1/entries": self._entries,
+            "/v1/status": self._status,
+            "/v1/histograms": self._histograms,
+            "/metrics": self._metrics,
+            "/healthz": self._healthz,
+            "/readyz": self._readyz,
+        }
+
+    def handle(self, ex: Exchange) -> None:
+        """Answer one request."""
+        if ex.path.startswith(CALL_PREFIX):
+            self._call(ex)
+            return
+        page = self._pages.get(ex.path)
+        if page is None and ex.path.startswith(TABLE_PREFIX):
+            page = self._table
+        if page is None:
+            ex.send_json(404, {"error": f"no page {ex.path}"})
+            return
+        page(ex)
+
+    def _call(self, ex: Exchange) -> None:
+        started = time.monotonic()
+        service, _, rest = ex.target[len(CALL_PREFIX) :].partition("/")
+        tenant = ex.headers.get(H_TENANT, DEFAULT_TENANT)
+        priority = ex.headers.get(H_CLASS, "normal")
+        verdict, code = Verdict.MAY_HAVE_RUN, "cut"
+        try:
+            verdict, code = self._serve(ex, service, "/" + rest)
+        finally:
+            known = service if service in self._parts.board.tables else "unknown"
+            self._parts.metrics.request(
+                known, tenant, priority, verdict.value, code, time.monotonic() - started
+            )
+
+    def _serve(self, ex: Exchange, service: str, path: str) -> tuple[Verdict, str]:
+        if not self.in_flight.enter():
+            return self._send_error(ex, self._early(ex, self._busy()))
+        try:
+            call = read_call(self._cfg, ex, service, path)
+            call.body.keep_small()
+            answer = self._route(call)
+        except RequestError as exc:
+            self.in_flight.leave()
+            return self._send_error(ex, exc)
+        except BaseException:
+            self.in_flight.leave()
+            raise
+        answer.on_end.append(lambda whole: self.in_flight.leave())
+        ex.send_answer(answer, self._cfg.vm, self._parts.board.leaving)
+        return answer.verdict, str(answer.status)
+
+    def _route(self, call: Call) -> Answer:
+        if not self._parts.ready():
+            text = "this VM has not read the table yet"
+            raise self._early_call(
+                call, RequestError(Code.TABLE_NOT_READY, text, Verdict.NOT_RUN, 503, 1.0)
+            )
+        if call.key and self._needs_home(call):
+            return self._parts.home.serve(call)
+        return self._parts.origin.route(call)
+
+    def _needs_home(self, call: Call) -> bool:
+        table = self._parts.board.tables.get(call.service)
+        return table is not None and call.method not in table.row(self._cfg.region).repeatable
+
+    def _early(self, ex: Exchange, exc: RequestError) -> RequestError:
+        key = ex.headers.get(H_KEY, "").strip('"')
+        if key:
+            exc.verdict = self._parts.home.early_verdict(key)
+        return exc
+
+    def _early_call(self, call: Call, exc: RequestError) -> RequestError:
+        if call.key:
+            exc.verdict = self._parts.home.early_verdict(call.key)
+        return exc
+
+    def _busy(self) -> RequestError:
+        wait = jittered(BUSY_RETRY_S, self._rng)
+        text = "too many requests are in flight at this VM"
+        return RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, wait)
+
+    def _send_error(self, ex: Exchange, exc: RequestError) -> tuple[Verdict, str]:
+        ex.send_error(exc, self._cfg.vm)
+        return exc.verdict, exc.code.value
+
+    def _entries(self, ex: Exchange) -> None:
+        service = ex.query.get("service", "")
+        page = entries_page(self._cfg, self._parts.board, self._parts.home, service, self._rng)
+        if page is None:
+            ex.send_json(404, {"error": f"no service {service!r} in the table"})
+            return
+        ex.send_json(200, page)
+
+    def _status(self, ex: Exchange) -> None:
+        ex.send_json(200, status_page(self._cfg, self._parts.board))
+
+    def _table(self, ex: Exchange) -> None:
+        table = self._parts.board.tables.get(ex.path[len(TABLE_PREFIX) :])
+        if table is None:
+            ex.send_json(404, {"error": "no such service in the table"})
+            return
+        ex.send_json(200, table_to_json(table))
+
+    def _histograms(self, ex: Exchange) -> None:
+        ex.send_json(200, {"histograms": histogram_rows()})
+
+    def _metrics(self, ex: Exchange) -> None:
+        ex.send_bytes(prometheus_text(), "text/plain; version=0.0.4; charset=utf-8")
+
+    def _healthz(self, ex: Exchange) -> None:
+        ex.send_json(200, {"state": "ok"})
+
+    def _readyz(self, ex: Exchange) -> None:
+        ready = self._parts.ready() and not self._parts.board.leaving
+        ex.send_json(200 if ready else 503, {"ready": ready})
+
+
+class HandoffPages:
+    """The port for calls that other VMs hand off."""
+
+    def __init__(self, cfg: Settings, parts: Parts, rng: random.Random) -> None:
+        self._cfg = cfg
+        self._parts = parts
+        self._rng = rng
+        self.in_flight = InFlight(cfg.threads - CONTROL_THREADS)
+
+    def handle(self, ex: Exchange) -> None:
+        """Answer one hand-off."""
+        if not self.in_flight.enter():
+            text = "too many hand-offs are in flight at this VM"
+            wait = jittered(BUSY_RETRY_S, self._rng)
+            exc = RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, wait)
+            ex.send_error(exc, self._cfg.vm)
+            return
+        try:
+            answer = self._serve(ex)
+        except RequestError as exc:
+            self.in_flight.leave()
+            ex.send_error(exc, self._cfg.vm)
+            return
+        except BaseException:
+            self.in_flight.leave()
+            raise
+        answer.on_end.append(lambda whole: self.in_flight.leave())
+        ex.send_answer(answer, self._cfg.vm, self._parts.board.leaving)
+
+    def _serve(self, ex: Exchange) -> Answer:
+        service, _, rest = ex.target.lstrip("/").partition("/")
+        call = read_call(self._cfg, ex, service, "/" + rest)
+        if service not in self._parts.board.tables:
+            text = f"no service {service!r} in the table here"
+            raise RequestError(Code.UNKNOWN_SERVICE, text, Verdict.NOT_RUN, 404)
+        admit = msg.AdmitAttempt(call.attempt, call.deadline)
+        if not msg.ask(self._parts.gate_actor, admit):
+            text = "the attempt was voided, came twice, or came late"
+            raise RequestError(Code.ATTEMPT_VOIDED, text, Verdict.NOT_RUN, 409)
+        try:
+            call.body.keep_small()
+            return self._hop(ex.headers.get(H_HOP, ""), call)
+        except RequestError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                self._parts.gate_actor.tell(msg.RefuseAttempt(call.attempt))
+            raise
+
+    def _hop(self, hop: str, call: Call) -> Answer:
+        if hop == HOP_OWNER:
+            return self._parts.gate.serve_owned(call)
+        if hop == HOP_GATE:
+            return self._parts.gate.serve(call)
+        if hop == HOP_HOME:
+            return self._parts.home.serve_here(call)
+        raise _bad(f"{H_HOP}: {hop!r} is unknown")
--- /dev/null
+++ b/gypsumwind/peers.py
@@ -0,0 +1,264 @@
+"""Calls between daemons: Thrift over TCP, a connection a call, and the service that answers."""
+
+import socket
+import threading
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Any
+
+import pykka
+from thriftpy2.protocol import TBinaryProtocol, TBinaryProtocolFactory
+from thriftpy2.rpc import TClient
+from thriftpy2.server import TThreadedServer
+from thriftpy2.thrift import TProcessor
+from thriftpy2.transport import (
+    TFramedTransport,
+    TFramedTransportFactory,
+    TServerSocket,
+    TSocket,
+)
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.admission import Usage
+from gypsumwind.core.membership import Endpoint
+from gypsumwind.core.ownership import Claim, ClaimReply, Hold
+from gypsumwind.core.records import Record
+from gypsumwind.errors import Code, GypsumwindError
+from gypsumwind.settings import Settings
+from gypsumwind.utils import monotonic
+from gypsumwind.wire import (
+    claim_from_wire,
+    claim_to_wire,
+    datagram_from_bytes,
+    endpoint_from_wire,
+    endpoint_to_wire,
+    hold_from_wire,
+    hold_to_wire,
+    record_from_wire,
+    record_to_wire,
+    reply_from_wire,
+    reply_to_wire,
+    thrift,
+)
+
+MAX_DATAGRAM_BYTES = 65536
+
+
+class PeerError(GypsumwindError):
+    """A call to a peer brought no answer; whether it took effect is not known."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.PEER_UNREACHABLE, message)
+
+
+class Peers:
+    """Calls to other daemons, each on a connection of its own and with a time limit."""
+
+    def __init__(self, ip: str, timeout_s: float) -> None:
+        self._ip = ip
+        self._timeout_s = timeout_s
+
+    def _call(self, to: Endpoint, method: str, *args: Any) -> Any:
+        try:
+            sock = socket.create_connection(
+                (to.ip, to.peer_port), self._timeout_s, source_address=(self._ip, 0)
+            )
+        except OSError as exc:
+            raise PeerError(f"{to.ip}:{to.peer_port}: {exc}") from exc
+        with sock:
+            transport = TFramedTransport(TSocket(sock=sock))
+            client = TClient(thrift.Peer, TBinaryProtocol(transport))
+            try:
+                return getattr(client, method)(*args)
+            except Exception as exc:
+                raise PeerError(f"{to.ip}:{to.peer_port} {method}: {exc!r}") from exc
+
+    def reaches(self, witness: Endpoint, target: Endpoint) -> bool:
+        """Ask a witness whether it reaches a target."""
+        return bool(self._call(witness, "reach", endpoint_to_wire(target)))
+
+    def ping(self, to: Endpoint) -> int:
+        """Return the incarnation of a peer."""
+        return int(self._call(to, "ping"))
+
+    def compare(self, to: Endpoint, digests: dict[str, int]) -> dict[str, dict[str, int]]:
+        """Return the peer's versions of the scopes whose digest differs."""
+        wire = [thrift.ScopeDigest(scope, digest) for scope, digest in digests.items()]
+        return {v.scope: v.versions for v in self._call(to, "compare", wire)}
+
+    def exchange(
+        self, to: Endpoint, records: Sequence[Record], wanted: dict[str, list[str]]
+    ) -> list[Record]:
+        """Give records to a peer and return those asked for."""
+        asked = [thrift.Wanted(scope, keys) for scope, keys in wanted.items()]
+        given = [record_to_wire(record) for record in records]
+        return [record_from_wire(r) for r in self._call(to, "exchange", given, asked)]
+
+    def claim(
+        self, to: Endpoint, claimant: str, claims: Sequence[Claim]
+    ) -> tuple[list[ClaimReply], list[str]]:
+        """Ask a peer to grant holds; returns its replies and the VMs of the zone it knows."""
+        answer = self._call(to, "claim", claimant, [claim_to_wire(c) for c in claims])
+        return [reply_from_wire(reply) for reply in answer.replies], list(answer.live)
+
+    def hand_over(self, to: Endpoint, hold: Hold, usages: Sequence[Usage]) -> bool:
+        """Hand a hold to a peer with what is in flight; True when it has taken it."""
+        now = monotonic()
+        left = [thrift.UsageLeft(max(0, int((u.deadline - now) * 1000)), u.foreign) for u in usages]
+        return bool(self._call(to, "hand_over", hold_to_wire(hold), left))
+
+    def discharge(self, to: Endpoint, instance: str) -> None:
+        """Tell the new owner that a request of ours on an instance has finished."""
+        self._call(to, "discharge", instance)
+
+    def void_attempt(self, to: Endpoint, attempt: str, remaining_ms: int, incarnation: int) -> bool:
+        """Void an attempt; True when no copy of it has run or ever will."""
+        return bool(self._call(to, "void_attempt", attempt, remaining_ms, incarnation))
+
+
+class PeerService:
+    """Answers the calls of other daemons from the actors."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        board: Board,
+        boot: int,
+        records: pykka.ActorRef,
+        gate: pykka.ActorRef,
+    ) -> None:
+        self._cfg = cfg
+        self._board = board
+        self._boot = boot
+        self._records = records
+        self._gate = gate
+        self._probes = Peers(cfg.ip, cfg.peer_timeout_s / 2)
+
+    def ping(self) -> int:
+        """Return the incarnation this process started with."""
+        return self._boot
+
+    def reach(self, endpoint: Any) -> bool:
+        """Tell whether this VM reaches another one now."""
+        try:
+            self._probes.ping(endpoint_from_wire(endpoint))
+        except PeerError:
+            return False
+        return True
+
+    def compare(self, digests: list[Any]) -> list[Any]:
+        """Return versions of the scopes that differ."""
+        mine = msg.ask(self._records, msg.GetDigests())
+        differing = [d.scope for d in digests if d.scope in mine and mine[d.scope] != d.digest]
+        return [
+            thrift.ScopeVersions(scope, msg.ask(self._records, msg.GetVersions(scope)))
+            for scope in differing
+        ]
+
+    def exchange(self, records: list[Any], wanted: list[Any]) -> list[Any]:
+        """Take records in and return those asked for."""
+        if records:
+            given = tuple(record_from_wire(record) for record in records)
+            self._records.tell(msg.PutRecords(given))
+        keys = tuple(key for part in wanted for key in part.keys)
+        found = msg.ask(self._records, msg.GetRecords(keys))
+        return [record_to_wire(record) for record in found]
+
+    def claim(self, claimant: str, claims: list[Any]) -> Any:
+        """Answer claims, and name the VMs of the zone that are present by this VM's view."""
+        silence_s = self._cfg.fence_s + self._cfg.takeover_margin_s
+        members, now = self._board.members, monotonic()
+        silent = frozenset(vm for vm in members.members if members.dead(vm, silence_s, now))
+        asked = tuple(claim_from_wire(wire) for wire in claims)
+        replies = msg.ask(self._gate, msg.AnswerClaims(asked, silent))
+        live = [member.vm for member in members.present(self._cfg.zone)]
+        return thrift.ClaimAnswer(
+            [reply_to_wire(reply) for reply in replies], [*live, self._cfg.vm]
+        )
+
+    def hand_over(self, hold: Any, usages: list[Any]) -> bool:
+        """Take a hold unless this VM is itself leaving."""
+        if self._board.leaving:
+            return False
+        now = monotonic()
+        left = tuple(Usage(now + u.remaining_ms / 1000.0, u.foreign) for u in usages)
+        message = msg.AcceptHandover(hold_from_wire(hold), left)
+        return bool(msg.ask(self._gate, message))
+
+    def discharge(self, instance: str) -> None:
+        """A previous owner finished one request."""
+        self._gate.tell(msg.Discharge(instance))
+
+    def void_attempt(self, attempt: str, remaining_ms: int, incarnation: int) -> bool:
+        """Void an attempt that was sent to this process; another one cannot know of it."""
+        if incarnation < self._boot:
+            return False
+        deadline = monotonic() + remaining_ms / 1000.0
+        return bool(msg.ask(self._gate, msg.VoidAttempt(attempt, deadline)))
+
+
+class PeerServer:
+    """The Thrift server of a daemon."""
+
+    def __init__(self, ip: str, port: int, service: PeerService) -> None:
+        trans = TServerSocket(ip, port, client_timeout=int(msg.ASK_TIMEOUT_S * 1000))
+        self._server = TThreadedServer(
+            TProcessor(thrift.Peer, service),
+            trans,
+            iprot_factory=TBinaryProtocolFactory(),
+            itrans_factory=TFramedTransportFactory(),
+            daemon=True,
+        )
+        self._thread = threading.Thread(target=self._server.serve, name="peer", daemon=True)
+
+    def __enter__(self) -> "PeerServer":
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._server.close()
+
+
+class ProbeListener:
+    """Receives membership datagrams and passes them to the members actor."""
+
+    def __init__(self, sock: socket.socket, members: pykka.ActorRef) -> None:
+        self._sock = sock
+        self._members = members
+        self._thread = threading.Thread(target=self._receive, name="probe", daemon=True)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        try:
+            message = datagram_from_bytes(data)
+        except ValueError:
+            return
+        try:
+            self._members.tell(msg.Received(message))
+        except pykka.ActorDeadError:
+            return
+
+    def __enter__(self) -> "ProbeListener":
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._sock.close()
--- /dev/null
+++ b/gypsumwind/probes.py
@@ -0,0 +1,79 @@
+"""Probes of the health and load endpoints of owned instances: evidence, never an order."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pykka
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.table import Instance
+from gypsumwind.settings import Settings
+from gypsumwind.tasks import Task
+
+PROBE_TIMEOUT_S = 0.5
+WORKERS = 4
+MAX_ANSWER_BYTES = 4096
+
+
+class HealthTask(Task):
+    """Asks each owned instance for its health and load, once a period."""
+
+    def __init__(self, cfg: Settings, board: Board, gate: pykka.ActorRef) -> None:
+        super().__init__("health", cfg.health_s)
+        self._cfg = cfg
+        self._board = board
+        self._gate = gate
+        self._pool = urllib3.PoolManager(
+            retries=False, num_pools=200, source_address=(cfg.ip, 0), timeout=PROBE_TIMEOUT_S
+        )
+        self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="health")
+        self._fresh: set[str] = set()
+
+    def step(self) -> None:
+        """Probe every instance that this VM holds."""
+        held = set(self._board.holds.held)
+        found = [
+            inst
+            for table in self._board.tables.values()
+            for inst in table.zone_instances(self._cfg.zone)
+            if inst.name in held
+        ]
+        list(self._workers.map(self._probe, found))
+
+    def pause_s(self) -> float:
+        """Return a short pause while new holds wait for their first report."""
+        held = set(self._board.holds.held)
+        new, self._fresh = held - self._fresh, held
+        return 0.1 if new else self._period_s
+
+    def _probe(self, inst: Instance) -> None:
+        health = self._get(inst, self._cfg.health_path)
+        load = self._get(inst, self._cfg.load_path)
+        state = health.get("state") if isinstance(health, dict) else None
+        in_flight = load.get("in_flight") if isinstance(load, dict) else None
+        seen = msg.HealthSeen(
+            instance=inst.name,
+            draining=None if state is None else state == "draining",
+            ill=None if state is None else state not in ("ok", "draining"),
+            in_flight=in_flight if isinstance(in_flight, int) else None,
+        )
+        self._gate.tell(seen)
+
+    def _get(self, inst: Instance, path: str) -> Any:
+        """Return the JSON document of an endpoint, None when it does not give one."""
+        if not path:
+            return None
+        try:
+            answer = self._pool.request(
+                "GET", f"http://{inst.address}{path}", preload_content=False
+            )
+            try:
+                return json.loads(answer.read(MAX_ANSWER_BYTES))
+            finally:
+                answer.release_conn()
+        except (HTTPError, OSError, ValueError):
+            return None
--- /dev/null
+++ b/gypsumwind/readers.py
@@ -0,0 +1,249 @@
+"""Readers of the files that operators keep in version control; each collects every fault."""
+
+import csv
+from dataclasses import dataclass
+from pathlib import Path
+
+from gypsumwind.core.table import COLUMN_BY_NAME, COLUMNS, CellValue, Instance
+from gypsumwind.errors import TableError
+from gypsumwind.utils import split_address
+
+FIRST_LINE = 2
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """A row of a file: its line number and its cells by column name."""
+
+    number: int
+    cells: dict[str, str]
+
+
+class Reader:
+    """Reads a CSV file with a header line; subclasses say which columns it has."""
+
+    required: tuple[str, ...] = ()
+    optional: tuple[str, ...] = ()
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self.faults: list[str] = []
+
+    def fault(self, line: int, column: str, text: str) -> None:
+        """Note a fault at a line and column."""
+        where = f" column {column}" if column else ""
+        self.faults.append(f"{self._path.name}:{line}:{where} {text}")
+
+    def lines(self) -> list[Line]:
+        """Return the rows; TableError if the file cannot be read at all."""
+        try:
+            with self._path.open(newline="", encoding="utf-8") as file:
+                rows = list(csv.reader(file, strict=True))
+        except (OSError, UnicodeDecodeError, csv.Error) as exc:
+            raise TableError(f"{self._path}: {exc}") from exc
+        if not rows:
+            raise TableError(f"{self._path}: empty; the first line must name the columns")
+        names = [name.strip() for name in rows[0]]
+        self._check_header(names)
+        found = []
+        for number, row in enumerate(rows[1:], FIRST_LINE):
+            if not any(cell.strip() for cell in row) or row[0].startswith("#"):
+                continue
+            if len(row) != len(names):
+                self.fault(number, "", f"{len(row)} cells, the header has {len(names)}")
+                continue
+            cells = dict(zip(names, (cell.strip() for cell in row), strict=True))
+            found.append(Line(number, cells))
+        return found
+
+    def _check_header(self, names: list[str]) -> None:
+        known = self.required + self.optional
+        for name in names:
+            if name not in known:
+                self.fault(1, name, f"no such column; the columns are {', '.join(known)}")
+            elif names.count(name) > 1:
+                self.fault(1, name, "named twice")
+        for name in self.required:
+            if name not in names:
+                self.fault(1, name, "missing")
+
+    def text(self, line: Line, column: str) -> str:
+        """Return a cell that must not be empty."""
+        value = line.cells.get(column, "")
+        if not value:
+            self.fault(line.number, column, "must not be empty")
+        return value
+
+    def check(self) -> None:
+        """Raise TableError with every fault found."""
+        if self.faults:
+            raise TableError("\n".join(self.faults))
+
+
+Rows = dict[str, dict[str, dict[str, CellValue]]]
+
+
+class TableReader(Reader):
+    """Reads table.csv: a row per service and region."""
+
+    required = ("service", "region", "weight", "limit")
+    optional = tuple(c.name for c in COLUMNS if c.name not in ("weight", "limit"))
+
+    def read(self) -> Rows:
+        """Return cells by service, region and column."""
+        rows: Rows = {}
+        for line in self.lines():
+            service, region = self.text(line, "service"), self.text(line, "region")
+            regions = rows.setdefault(service, {})
+            if region in regions:
+                self.fault(line.number, "region", f"{service}/{region} has a row already")
+            regions[region] = self._cells(line)
+        self.check()
+        return rows
+
+    def _cells(self, line: Line) -> dict[str, CellValue]:
+        cells: dict[str, CellValue] = {}
+        for name, column in COLUMN_BY_NAME.items():
+            if name not in line.cells:
+                continue
+            text = line.cells[name]
+            try:
+                cells[name] = column.parse(text) if text else column.default
+            except ValueError as exc:
+                self.fault(line.number, name, str(exc))
+        return cells
+
+
+class InstancesReader(Reader):
+    """Reads instances.csv: the upstream instances of each service."""
+
+    required = ("service", "instance", "zone", "address", "slots")
+
+    def read(self) -> dict[str, list[Instance]]:
+        """Return the instances by service."""
+        found: dict[str, list[Instance]] = {}
+        names: dict[str, int] = {}
+        for line in self.lines():
+            service, name = self.text(line, "service"), self.text(line, "instance")
+            if name in names:
+                self.fault(line.number, "instance", f"{name} is on line {names[name]} already")
+            names[name] = line.number
+            inst = self._instance(line, name)
+            if inst is not None:
+                found.setdefault(service, []).append(inst)
+        self.check()
+        return found
+
+    def _instance(self, line: Line, name: str) -> Instance | None:
+        zone, slots = self.text(line, "zone"), line.cells.get("slots", "")
+        address = line.cells.get("address", "")
+        try:
+            split_address(address)
+        except ValueError as exc:
+            self.fault(line.number, "address", str(exc))
+            return None
+        if not slots.isdecimal() or int(slots) < 1:
+            self.fault(line.number, "slots", f"{slots} is not a whole number of slots from 1")
+            return None
+        return Instance(name, zone, address, int(slots))
+
+
+class ZonesReader(Reader):
+    """Reads zones.csv: the region of each availability zone."""
+
+    required = ("zone", "region")
+
+    def read(self) -> dict[str, str]:
+        """Return regions by zone."""
+        zones: dict[str, str] = {}
+        for line in self.lines():
+            zone = self.text(line, "zone")
+            if zone in zones:
+                self.fault(line.number, "zone", f"{zone} has a row already")
+            zones[zone] = self.text(line, "region")
+        self.check()
+        return zones
+
+
+class LinksReader(Reader):
+    """Reads links.csv: the bytes a second, each way, between two regions."""
+
+    required = ("region", "other_region", "bytes_per_s")
+
+    def read(self) -> dict[tuple[str, str], float]:
+        """Return budgets by pair of regions, the smaller name first."""
+        links: dict[tuple[str, str], float] = {}
+        for line in self.lines():
+            one, other = self.text(line, "region"), self.text(line, "other_region")
+            rate = line.cells.get("bytes_per_s", "")
+            if not rate.isdecimal() or int(rate) < 1:
+                self.fault(line.number, "bytes_per_s", f"{rate} is not a whole number from 1")
+                continue
+            if one == other:
+                self.fault(line.number, "other_region", "is the same region")
+            pair = (min(one, other), max(one, other))
+            if pair in links:
+                self.fault(line.number, "other_region", f"{one} and {other} have a row already")
+            links[pair] = float(rate)
+        self.check()
+        return links
+
+
+@dataclass(slots=True, frozen=True)
+class Declaration:
+    """All that a folder of files declares."""
+
+    rows: Rows
+    instances: dict[str, list[Instance]]
+    zones: dict[str, str]
+    links: dict[tuple[str, str], float]
+
+
+def read_declaration(table: Path) -> Declaration:
+    """Read table.csv and instances.csv, zones.csv, links.csv beside it; all faults at once."""
+    folder = table.parent
+    faults: list[str] = []
+    parts: list = []
+    readers: tuple[tuple[type[Reader], Path], ...] = (
+        (TableReader, table),
+        (InstancesReader, folder / "instances.csv"),
+        (ZonesReader, folder / "zones.csv"),
+        (LinksReader, folder / "links.csv"),
+    )
+    for kind, path in readers:
+        try:
+            optional = kind is LinksReader and not path.exists()
+            parts.append({} if optional else kind(path).read())  # type: ignore[attr-defined]
+        except TableError as exc:
+            faults.append(exc.message)
+            parts.append({})
+    declaration = Declaration(*parts)
+    if not faults:
+        faults = _cross_faults(declaration, table.name)
+    if faults:
+        raise TableError("\n".join(faults))
+    return declaration
+
+
+def _cross_faults(found: Declaration, name: str) -> list[str]:
+    faults = []
+    regions = set(found.zones.values())
+    for service, rows in found.rows.items():
+        for region in rows:
+            if region not in regions:
+                faults.append(f"{name}: {service}/{region}: zones.csv has no such region")
+        if service not in found.instances:
+            faults.append(f"{name}: {service}: instances.csv has no instance of it")
+    for service, instances in found.instances.items():
+        if service not in found.rows:
+            faults.append(f"instances.csv: {service}: {name} has no row of it")
+        for inst in instances:
+            if inst.zone not in found.zones:
+                faults.append(f"instances.csv: {inst.name}: zones.csv has no zone {inst.zone}")
+    faults.extend(
+        f"links.csv: zones.csv has no region {region}"
+        for pair in found.links
+        for region in pair
+        if region not in regions
+    )
+    return faults
--- /dev/null
+++ b/gypsumwind/senders.py
@@ -0,0 +1,162 @@
+"""Sending over HTTP to upstreams and to other VMs: one answer for one request, or an error.
+
+A connection whose answer was not read to its end is closed, never used again, so that no late
+answer can reach another request.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+from urllib3.response import BaseHTTPResponse
+from urllib3.util import Timeout
+
+from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.utils import monotonic
+
+POOL_CONNECTIONS = 64
+BODILESS = frozenset((204, 304))
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """Where a request goes, and the error codes for it: an upstream's or a peer's."""
+
+    ip: str
+    port: int
+    unreachable: Code
+    failed: Code
+
+
+@dataclass(slots=True, frozen=True)
+class Outgoing:
+    """A request to send; `repeatable` ones may use a kept connection."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: Body
+    deadline: float
+    repeatable: bool
+
+
+class Sender:
+    """Sends requests over pools of kept connections, one pool a target."""
+
+    def __init__(self, ip: str, connect_timeout_s: float) -> None:
+        self._ip = ip
+        self._connect_timeout_s = connect_timeout_s
+        self._pools: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
+
+    def send(self, target: Target, out: Outgoing) -> Answer:
+        """Send a request and return its answer; RequestError says whether it may have run."""
+        left = out.deadline - monotonic()
+        if left <= 0:
+            raise RequestError(
+                Code.DEADLINE_EXCEEDED, "the deadline has passed", Verdict.NOT_RUN, 504
+            )
+        pool = self._pool(target) if out.repeatable else self._new_pool(target)
+        headers = dict(out.headers)
+        has_body = out.body.length != 0
+        if has_body and out.body.length is not None:
+            headers["content-length"] = str(out.body.length)
+        try:
+            response = pool.urlopen(
+                out.method,
+                out.path,
+                body=out.body.chunks() if has_body else None,
+                headers=headers,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+                timeout=Timeout(connect=min(left, self._connect_timeout_s), read=left),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            raise RequestError(
+                target.unreachable, f"{target.ip}:{target.port}: {exc}", Verdict.NOT_RUN, 503
+            ) from exc
+        except ReadTimeoutError as exc:
+            raise RequestError(
+                Code.DEADLINE_EXCEEDED, f"no answer in time: {exc}", Verdict.MAY_HAVE_RUN, 504
+            ) from exc
+        except (HTTPError, OSError) as exc:
+            raise RequestError(
+                target.failed, f"{target.ip}:{target.port}: {exc}", Verdict.MAY_HAVE_RUN, 502
+            ) from exc
+        return _answer(response, target, out)
+
+    def _pool(self, target: Target) -> urllib3.HTTPConnectionPool:
+        key = (target.ip, target.port)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = self._new_pool(target)
+        return pool
+
+    def _new_pool(self, target: Target) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            target.ip, target.port, maxsize=POOL_CONNECTIONS, source_address=(self._ip, 0)
+        )
+
+
+def _answer(response: BaseHTTPResponse, target: Target, out: Outgoing) -> Answer:
+    length = _length(response, out.method)
+    framed = length is not None or "chunked" in response.headers.get("transfer-encoding", "")
+    if not framed:
+        response.close()
+        raise RequestError(
+            target.failed,
+            "the answer has neither a length nor chunks, so its end cannot be told",
+            Verdict.MAY_HAVE_RUN,
+            502,
+        )
+    headers = [
+        (name, value) for name, value in response.headers.items() if name.lower() not in HOP_BY_HOP
+    ]
+    chunks = _chunks(response, target, out.deadline, length)
+    return Answer(response.status, headers, chunks, _closer(response), length)
+
+
+def _length(response: BaseHTTPResponse, method: str) -> int | None:
+    if method == "HEAD" or response.status in BODILESS:
+        return 0
+    text = response.headers.get("content-length", "")
+    return int(text) if text.isdecimal() else None
+
+
+def _chunks(
+    response: BaseHTTPResponse, target: Target, deadline: float, length: int | None
+) -> Iterator[bytes]:
+    """Yield the body; a cut, stalled or late one raises, so that it never looks whole."""
+    try:
+        while length != 0:
+            if monotonic() >= deadline:
+                raise RequestError(
+                    Code.DEADLINE_EXCEEDED, "the answer was late", Verdict.MAY_HAVE_RUN, 504
+                )
+            chunk = response.read1(CHUNK_BYTES)
+            if not chunk:
+                break
+            yield chunk
+    except (HTTPError, OSError) as exc:
+        raise RequestError(
+            target.failed, f"the answer was cut: {exc}", Verdict.MAY_HAVE_RUN, 502
+        ) from exc
+    response.release_conn()
+
+
+def _closer(response: BaseHTTPResponse) -> Callable[[], None]:
+    def close() -> None:
+        """Close the connection unless the answer was read whole and it was given back."""
+        if response.connection is not None:
+            response.close()
+
+    return close
--- /dev/null
+++ b/gypsumwind/servers.py
@@ -0,0 +1,205 @@
+"""HTTP servers on cheroot: one for callers and operators, one for hand-offs of other VMs."""
+
+import json
+import sys
+import threading
+from collections.abc import Callable
+from http import HTTPStatus
+from traceback import format_tb
+from types import TracebackType
+from typing import Any
+from urllib.parse import parse_qs
+
+from cheroot.server import Gateway, HTTPServer
+
+from gypsumwind.calls import (
+    H_CODE,
+    H_INSTANCE,
+    H_VERDICT,
+    H_VM,
+    Answer,
+    Body,
+)
+from gypsumwind.errors import RequestError
+from gypsumwind.log import Log
+
+log = Log("servers")
+
+BACKLOG = 1024
+MAX_KEPT_CONNECTIONS = 4096
+SOCKET_TIMEOUT_S = 30
+SMALL_REST_BYTES = 65536
+CONTROL_THREADS = 8
+
+
+class Exchange:
+    """One HTTP request with the means to answer it."""
+
+    __slots__ = ("method", "path", "query", "headers", "body", "target", "_req")
+
+    def __init__(self, req: Any) -> None:
+        self._req = req
+        self.method = req.method.decode("ascii", "replace")
+        self.target = req.uri.decode("latin-1")
+        self.path, _, query = self.target.partition("?")
+        self.query = {name: values[-1] for name, values in parse_qs(query).items()}
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in req.inheaders.items()
+        }
+        self.body = Body(req.rfile, self._body_length())
+
+    def _body_length(self) -> int | None:
+        if "chunked" in self.headers.get("transfer-encoding", "").lower():
+            return None
+        length = self.headers.get("content-length", "0")
+        return int(length) if length.isdecimal() else 0
+
+    def send_json(self, status: int, doc: Any) -> None:
+        """Answer with a JSON document."""
+        data = (json.dumps(doc, indent=2) + "\n").encode()
+        self._start(status, [("Content-Type", "application/json")], len(data))
+        self._req.write(data)
+
+    def send_bytes(self, data: bytes, content_type: str) -> None:
+        """Answer 200 with bytes."""
+        self._start(200, [("Content-Type", content_type)], len(data))
+        self._req.write(data)
+
+    def send_answer(self, answer: Answer, vm: str, closing: bool) -> None:
+        """Stream an answer; a failure on the way cuts the connection, so it never looks whole."""
+        whole = False
+        try:
+            own = (H_VERDICT, H_VM, H_INSTANCE) if answer.instance else (H_VERDICT, H_VM)
+            headers = [(n, v) for n, v in answer.headers if n.lower() not in own]
+            headers += [(H_VERDICT, answer.verdict.value), (H_VM, vm)]
+            if answer.instance:
+                headers.append((H_INSTANCE, answer.instance))
+            if closing or self.body.unread:
+                self._req.close_connection = True
+            self._start(answer.status, headers, answer.length)
+            for chunk in answer.chunks:
+                self._req.write(chunk)
+            whole = True
+        finally:
+            answer.end(whole)
+
+    def send_error(self, exc: RequestError, vm: str) -> None:
+        """Answer with an error: code, verdict, and when to come back."""
+        self._skip_body()
+        doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
+        data = (json.dumps(doc) + "\n").encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            (H_VERDICT, exc.verdict.value),
+            (H_CODE, exc.code.value),
+            (H_VM, vm),
+        ]
+        if exc.retry_after_s is not None:
+            headers.append(("Retry-After", str(max(1, round(exc.retry_after_s)))))
+        self._start(exc.status, headers, len(data))
+        self._req.write(data)
+
+    def _skip_body(self) -> None:
+        """Read a small rest of the body; with a large one the connection is closed instead."""
+        remaining = getattr(self._req.rfile, "remaining", None)
+        if remaining is None or remaining > SMALL_REST_BYTES:
+            self._req.close_connection = self.body.length != 0
+            return
+        if remaining:
+            self._req.rfile.read(remaining)
+
+    def _start(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
+        req = self._req
+        req.status = _status_line(status)
+        pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        if length is not None:
+            pairs.append((b"Content-Length", str(length).encode()))
+        req.outheaders = pairs
+        req.sent_headers = True
+        req.send_headers()
+
+
+def _status_line(status: int) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"{status} {phrase}".encode("ascii")
+
+
+Handler = Callable[[Exchange], None]
+
+
+class _Server(HTTPServer):
+    """A cheroot server that logs its own faults as state, not as traces."""
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log faults of the program; connections that are cut are no fault of it."""
+        fault = sys.exc_info()[1]
+        if fault is None or isinstance(fault, (OSError, RequestError)):
+            return
+        where = "".join(format_tb(fault.__traceback__)[-2:])
+        log.error("request-failed", error=f"{type(fault).__name__}: {fault}", where=where)
+
+
+class Server:
+    """An HTTP server with a fixed pool of threads that passes requests to a handler."""
+
+    def __init__(self, name: str, ip: str, port: int, threads: int, handler: Handler) -> None:
+        class HandlerGateway(Gateway):
+            """Passes one request to the handler."""
+
+            def respond(self) -> None:
+                """Handle the request."""
+                handler(Exchange(self.req))
+
+        self._http = _Server((ip, port), HandlerGateway, minthreads=threads, maxthreads=threads)
+        self._http.request_queue_size = BACKLOG
+        self._http.timeout = SOCKET_TIMEOUT_S
+        self._http.server_name = "gypsumwind"
+        self._http.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
+        self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
+
+    def _serve(self) -> None:
+        self._http.serve()
+
+    def __enter__(self) -> "Server":
+        self._http.prepare()
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._http.stop()
+
+
+class InFlight:
+    """Counts requests in flight and refuses those beyond a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._count = 0
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """Return the requests in flight."""
+        return self._count
+
+    def enter(self) -> bool:
+        """Count one in; False when the limit is reached."""
+        with self._lock:
+            if self._count >= self._limit:
+                return False
+            self._count += 1
+            return True
+
+    def leave(self) -> None:
+        """Count one out."""
+        with self._lock:
+            self._count -= 1
--- /dev/null
+++ b/gypsumwind/statuses.py
@@ -0,0 +1,85 @@
+"""The status page: zones, VMs, tables in force, and headroom, with the age of each."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from gypsumwind.board import Board
+from gypsumwind.core.admission import Headroom
+from gypsumwind.gossip import least_generations, live_loads, sum_headroom
+from gypsumwind.settings import Settings
+from gypsumwind.utils import wall
+
+
+def status_page(cfg: Settings, board: Board) -> dict[str, Any]:
+    """Return what this VM knows of the fleet."""
+    zones = {zone: _zone(cfg, board, zone) for zone in sorted(board.places.zones)}
+    zones.setdefault(cfg.zone, _own_zone(cfg, board))
+    return {
+        "vm": cfg.vm,
+        "zone": cfg.zone,
+        "leaving": board.leaving,
+        "tables": {name: table.generation for name, table in sorted(board.tables.items())},
+        "places": board.places.generation,
+        "zones": zones,
+        "vms": [_vm(member) for member in _members(board)],
+        "holds": dict(sorted(board.holds.held.items())),
+        "weights": _weights(board),
+    }
+
+
+def _members(board: Board) -> list[Any]:
+    members = [board.members.me, *board.members.members.values()]
+    return sorted(members, key=lambda m: (m.zone, m.vm))
+
+
+def _vm(member: Any) -> dict[str, Any]:
+    return {
+        "vm": member.vm,
+        "zone": member.zone,
+        "ip": member.endpoint.ip,
+        "state": member.state.name.lower(),
+        "incarnation": member.incarnation,
+    }
+
+
+def _zone(cfg: Settings, board: Board, zone: str) -> dict[str, Any]:
+    if zone == cfg.zone:
+        return _own_zone(cfg, board)
+    load = board.zones.get(zone)
+    if load is None:
+        return {"vms": 0, "age_s": None, "tables": {}, "headroom": {}}
+    return {
+        "vms": load.vms,
+        "age_s": round(max(0.0, wall() - load.at), 3),
+        "tables": dict(sorted(load.generations.items())),
+        "headroom": _rooms(load.headroom),
+    }
+
+
+def _own_zone(cfg: Settings, board: Board) -> dict[str, Any]:
+    loads = live_loads(board, cfg.zone)
+    return {
+        "vms": len(loads),
+        "age_s": 0.0,
+        "tables": dict(sorted(least_generations(loads).items())),
+        "headroom": _rooms(sum_headroom(loads)),
+    }
+
+
+def _rooms(rooms: Mapping[str, Headroom]) -> dict[str, Any]:
+    names = Headroom.__slots__
+    return {
+        service: {name: getattr(room, name) for name in names}
+        for service, room in sorted(rooms.items())
+    }
+
+
+def _weights(board: Board) -> dict[str, dict[str, float]]:
+    now = wall()
+    return {
+        name: {
+            region: round(table.row(region).weight.weight_at(now), 3)
+            for region in sorted(table.cells)
+        }
+        for name, table in sorted(board.tables.items())
+    }
--- /dev/null
+++ b/gypsumwind/tasks.py
@@ -0,0 +1,57 @@
+"""Tasks: threads that do blocking work at a period and talk to actors by messages."""
+
+import threading
+from types import TracebackType
+
+from gypsumwind.log import Log
+
+log = Log("tasks")
+
+
+class Task(threading.Thread):
+    """A thread that calls step() once a period, until the end of its context."""
+
+    def __init__(self, name: str, period_s: float) -> None:
+        super().__init__(name=name, daemon=True)
+        self._period_s = period_s
+        self._ended = threading.Event()
+        self._failing = False
+
+    def step(self) -> None:
+        """Do the work of one period."""
+        raise NotImplementedError
+
+    def pause_s(self) -> float:
+        """Return the seconds until the next step."""
+        return self._period_s
+
+    def run(self) -> None:
+        """Call step() until the task is ended; errors are logged once a series."""
+        while not self._ended.is_set():
+            self._guarded_step()
+            self._ended.wait(self.pause_s())
+
+    def _guarded_step(self) -> None:
+        try:
+            self.step()
+            self._failing = False
+        except Exception as exc:
+            if not self._failing:
+                log.error("task-failed", task=self.name, error=f"{type(exc).__name__}: {exc}")
+            self._failing = True
+
+    def end(self) -> None:
+        """Ask the task to end after its present step."""
+        self._ended.set()
+
+    def __enter__(self) -> "Task":
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.end()
--- /dev/null
+++ b/gypsumwind/utils.py
@@ -0,0 +1,45 @@
+"""Small functions that several modules share."""
+
+import os
+import random
+import time
+from urllib.parse import urlsplit
+
+
+def monotonic() -> float:
+    """Return seconds on a clock that runs on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall() -> float:
+    """Return seconds since the epoch."""
+    return time.time()
+
+
+def new_id() -> str:
+    """Return an identifier that is not given out twice: 128 random bits in hexadecimal."""
+    return os.urandom(16).hex()
+
+
+def jittered(seconds: float, rng: random.Random) -> float:
+    """Return `seconds` changed at random by up to a half."""
+    return seconds * (0.5 + rng.random())
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Split `ip:port`; ValueError names what is wrong."""
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isdecimal() and int(p) <= 255 for p in parts):
+        raise ValueError(f"{text!r}: {host!r} is not an IP number")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r}: {port!r} is not a port from 1 to 65535")
+    return host, int(port)
+
+
+def split_url(text: str) -> tuple[str, int]:
+    """Split `http://ip:port`; ValueError names what is wrong."""
+    parts = urlsplit(text)
+    if parts.scheme != "http" or parts.path not in ("", "/"):
+        raise ValueError(f"{text!r} is not of the form http://IP:PORT")
+    return split_address(parts.netloc)
--- /dev/null
+++ b/gypsumwind/watchers.py
@@ -0,0 +1,179 @@
+"""The platform's store as delegates follow it: a watch on the table, and the list of VMs."""
+
+import json
+import random
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.actors import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY
+from gypsumwind.board import Board
+from gypsumwind.core.edits import merge_tables
+from gypsumwind.core.records import GLOBAL_SCOPE, Record
+from gypsumwind.core.table import (
+    ServiceTable,
+    places_from_json,
+    places_to_json,
+    table_from_json,
+    table_to_json,
+)
+from gypsumwind.errors import StoreError, TableError
+from gypsumwind.gossip import is_delegate
+from gypsumwind.log import Log
+from gypsumwind.settings import Settings
+from gypsumwind.stores import Listing, Store, StoredObject
+from gypsumwind.tasks import Task
+from gypsumwind.utils import jittered
+
+log = Log("watchers")
+
+CONFIG_PREFIX = "config/"
+WATCH_WAIT_S = 20.0
+RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+IDLE_S = 0.5
+VM_LIST_S = 1.0
+
+
+def record_of(found: StoredObject) -> Record | None:
+    """Return the record of a stored table or places document, None for anything else."""
+    key = found.key.removeprefix(CONFIG_PREFIX)
+    if key != PLACES_KEY and not key.startswith(TABLE_PREFIX):
+        return None
+    try:
+        generation = int(found.value["generation"])
+    except (KeyError, TypeError, ValueError):
+        log.error("object-unreadable", key=found.key)
+        return None
+    payload = json.dumps(found.value).encode()
+    return Record(key, generation, GLOBAL_SCOPE, payload)
+
+
+class TableWatch(Task):
+    """Holds a watch while this VM is a delegate, and mends a store that lost edits."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        board: Board,
+        store: Store,
+        records: pykka.ActorRef,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("table-watch", 0.0)
+        self._cfg = cfg
+        self._board = board
+        self._store = store
+        self._records = records
+        self._rng = rng
+        self._revision: int | None = None
+        self._retry_s = 0.0
+        self.loaded = False
+
+    def pause_s(self) -> float:
+        """Return the seconds until the next call of the store."""
+        if self._retry_s:
+            return jittered(self._retry_s, self._rng)
+        return IDLE_S if self._idle() else 0.0
+
+    def _idle(self) -> bool:
+        return self.loaded and not is_delegate(self._board, self._cfg.zone)
+
+    def step(self) -> None:
+        """List once, then watch as long as this VM is a delegate."""
+        if self._idle():
+            self._revision = None
+            return
+        try:
+            self._follow()
+            if self._retry_s:
+                log.info("store-answers-again")
+            self._retry_s = 0.0
+        except StoreError as exc:
+            if not self._retry_s:
+                log.warning("store-fails", error=exc.message)
+            self._retry_s = min(MAX_RETRY_S, self._retry_s * 2 or RETRY_S)
+            self._revision = None
+
+    def _follow(self) -> None:
+        if self._revision is None:
+            listing = self._store.list_objects(CONFIG_PREFIX)
+            self._take(listing)
+            self.loaded = True
+            return
+        listing = self._store.watch(CONFIG_PREFIX, self._revision, WATCH_WAIT_S)
+        if listing.revision < self._revision:
+            log.warning("store-went-back", was=self._revision, now=listing.revision)
+            self._revision = None
+            return
+        self._take(listing)
+
+    def _take(self, listing: Listing) -> None:
+        found = [r for o in listing.objects if (r := record_of(o)) is not None]
+        msg.ask(self._records, msg.PutRecords(tuple(found)))
+        self._revision = listing.revision
+        for obj in listing.objects:
+            self._mend(obj)
+
+    def _mend(self, obj: StoredObject) -> None:
+        """Write back what the fleet holds where the store has older or diverged data."""
+        key = obj.key.removeprefix(CONFIG_PREFIX)
+        try:
+            value = self._mended(key, obj)
+        except TableError as exc:
+            log.error("object-unreadable", key=obj.key, error=exc.message)
+            return
+        if value is None:
+            return
+        self._store.put(obj.key, value, obj.version)
+        log.warning("store-mended", key=obj.key, generation=value["generation"])
+
+    def _mended(self, key: str, obj: StoredObject) -> dict | None:
+        if key == PLACES_KEY:
+            held = self._board.places
+            stale = places_from_json(obj.value).generation < held.generation
+            return places_to_json(held) if stale else None
+        if not key.startswith(TABLE_PREFIX):
+            return None
+        mine = self._board.tables.get(key.removeprefix(TABLE_PREFIX))
+        return None if mine is None else mend_table(mine, table_from_json(obj.value))
+
+
+def mend_table(held: ServiceTable, found: ServiceTable) -> dict | None:
+    """Return the document to write back, None when the store's is as new as the fleet's."""
+    if found.generation > held.generation:
+        return None
+    held_ids = {record.edit_id for record in held.history}
+    unseen = [r for r in found.history if r.edit_id not in held_ids]
+    oldest = held.history[0].generation if held.history else 0
+    if any(record.generation >= oldest for record in unseen):
+        return table_to_json(merge_tables(held, found))
+    return table_to_json(held) if found.generation < held.generation else None
+
+
+class VmListWatch(Task):
+    """Reads the platform's list of VMs while this VM is a delegate and spreads the leaving."""
+
+    def __init__(self, cfg: Settings, board: Board, store: Store, records: pykka.ActorRef) -> None:
+        super().__init__("vm-list", VM_LIST_S)
+        self._cfg = cfg
+        self._board = board
+        self._store = store
+        self._records = records
+        self._last: list[str] | None = None
+
+    def step(self) -> None:
+        """Publish the IP numbers of this zone that are leaving, when they change."""
+        if not is_delegate(self._board, self._cfg.zone):
+            self._last = None
+            return
+        try:
+            listed = self._store.vms()
+        except StoreError:
+            return
+        leaving = sorted(v.ip for v in listed if v.leaving and v.zone == self._cfg.zone)
+        if leaving != self._last:
+            self._last = leaving
+            payload = json.dumps(leaving).encode()
+            record = msg.PublishRecord(VMLIST_KEY, self._cfg.zone, payload)
+            msg.ask(self._records, record)
--- /dev/null
+++ b/gypsumwind/wire.py
@@ -0,0 +1,134 @@
+"""Thrift messages between daemons and their conversion from and to the core's types."""
+
+from importlib.resources import files
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol import TBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from gypsumwind.core.admission import Headroom
+from gypsumwind.core.membership import Ack, Endpoint, Member, Probe, State
+from gypsumwind.core.ownership import Claim, ClaimReply, Hold
+from gypsumwind.core.records import Record
+
+thrift: Any = thriftpy2.load(
+    str(files("gypsumwind") / "gypsumwind.thrift"), module_name="gypsumwind_thrift"
+)
+_PROTOCOL = TBinaryProtocolFactory()
+
+
+def pack(message: Any) -> bytes:
+    """Return the binary form of a Thrift struct."""
+    return serialize(message, _PROTOCOL)
+
+
+def unpack(kind: type, data: bytes) -> Any:
+    """Read a Thrift struct of a kind; ValueError if the bytes are not one."""
+    try:
+        return deserialize(kind(), data, _PROTOCOL)
+    except Exception as exc:
+        raise ValueError(f"not a {kind.__name__}: {type(exc).__name__}: {exc}") from exc
+
+
+def endpoint_to_wire(endpoint: Endpoint) -> Any:
+    """Convert an endpoint."""
+    return thrift.Endpoint(
+        endpoint.ip, endpoint.caller_port, endpoint.handoff_port, endpoint.peer_port
+    )
+
+
+def endpoint_from_wire(wire: Any) -> Endpoint:
+    """Convert an endpoint back."""
+    return Endpoint(wire.ip, wire.caller_port, wire.handoff_port, wire.peer_port)
+
+
+def member_to_wire(member: Member) -> Any:
+    """Convert a member."""
+    endpoint = endpoint_to_wire(member.endpoint)
+    return thrift.Member(member.vm, member.zone, endpoint, member.incarnation, int(member.state))
+
+
+def member_from_wire(wire: Any) -> Member:
+    """Convert a member back."""
+    endpoint = endpoint_from_wire(wire.endpoint)
+    return Member(wire.vm, wire.zone, endpoint, wire.incarnation, State(wire.state))
+
+
+def datagram_to_bytes(message: Probe | Ack) -> bytes:
+    """Encode a membership message."""
+    target = message.target if isinstance(message, Probe) else None
+    return pack(
+        thrift.Datagram(
+            is_ack=isinstance(message, Ack),
+            seq=message.seq,
+            sender=member_to_wire(message.sender),
+            updates=[member_to_wire(member) for member in message.updates],
+            target=endpoint_to_wire(target) if target else None,
+        )
+    )
+
+
+def datagram_from_bytes(data: bytes) -> Probe | Ack:
+    """Decode a membership message; ValueError if it is not one."""
+    wire = unpack(thrift.Datagram, data)
+    try:
+        sender = member_from_wire(wire.sender)
+        updates = tuple(member_from_wire(member) for member in wire.updates)
+        if wire.is_ack:
+            return Ack(wire.seq, sender, updates)
+        target = endpoint_from_wire(wire.target) if wire.target else None
+        return Probe(wire.seq, sender, updates, target)
+    except (AttributeError, TypeError) as exc:
+        raise ValueError(f"incomplete datagram: {exc}") from exc
+
+
+def record_to_wire(record: Record) -> Any:
+    """Convert a record."""
+    return thrift.Record(record.key, record.version, record.scope, record.payload)
+
+
+def record_from_wire(wire: Any) -> Record:
+    """Convert a record back."""
+    payload = wire.payload.encode() if isinstance(wire.payload, str) else wire.payload
+    return Record(wire.key, wire.version, wire.scope, payload)
+
+
+def hold_to_wire(hold: Hold) -> Any:
+    """Convert a hold."""
+    return thrift.Hold(hold.instance, hold.holder, hold.epoch)
+
+
+def hold_from_wire(wire: Any) -> Hold:
+    """Convert a hold back."""
+    return Hold(wire.instance, wire.holder, wire.epoch)
+
+
+def claim_to_wire(claim: Claim) -> Any:
+    """Convert a claim; it travels as the hold that is wanted."""
+    return thrift.Hold(claim.instance, claim.claimant, claim.epoch)
+
+
+def claim_from_wire(wire: Any) -> Claim:
+    """Convert a claim back."""
+    return Claim(wire.instance, wire.holder, wire.epoch)
+
+
+def reply_to_wire(reply: ClaimReply) -> Any:
+    """Convert a reply to a claim."""
+    return thrift.ClaimReply(reply.instance, reply.granted, reply.holder, reply.epoch)
+
+
+def reply_from_wire(wire: Any) -> ClaimReply:
+    """Convert a reply to a claim back."""
+    return ClaimReply(wire.instance, wire.granted, wire.holder, wire.epoch)
+
+
+def headroom_to_wire(room: Headroom) -> Any:
+    """Convert a service's headroom."""
+    return thrift.Headroom(room.slots, room.in_flight, room.free_high, room.free, room.free_lent)
+
+
+def headroom_from_wire(wire: Any) -> Headroom:
+    """Convert a service's headroom back."""
+    return Headroom(wire.slots, wire.in_flight, wire.free_high, wire.free, wire.free_lent)
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,275 @@
+"""Starts the daemons of a test as processes, with store, upstreams and proxy around them."""
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+from gypsumwind.core.edits import CellEdit, InstanceEdit
+from gypsumwind.core.table import Instance, Places
+from gypsumwind.editors import Editor
+from gypsumwind.stores import HttpStore
+from gypsumwind.utils import new_id
+from tests.standins.caller import Caller
+from tests.standins.proxy import Proxy
+from tests.standins.store import Store
+from tests.standins.upstream import RunLog, Upstream
+
+CALLER_PORT, HANDOFF_PORT, PEER_PORT, STORE_PORT, UP_PORT = 18080, 18081, 18082, 18083, 18084
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def until(check, timeout=30.0, period=0.05, text=""):
+    """Poll until `check` returns something true, and return it."""
+    deadline = time.monotonic() + timeout
+    last = None
+    while time.monotonic() < deadline:
+        last = check()
+        if last:
+            return last
+        time.sleep(period)
+    raise AssertionError(f"not within {timeout} s: {text or check} (last: {last!r})")
+
+
+@dataclass
+class Service:
+    """A service of a test: instances a zone, slots each, and the cells of each row."""
+
+    name: str
+    instances: int = 2
+    slots: int = 4
+    cells: dict = field(default_factory=dict)
+
+
+class Vm:
+    """One daemon process."""
+
+    def __init__(self, fleet, name, zone, region, number):
+        self.fleet, self.name, self.zone, self.region = fleet, name, zone, region
+        self.real_ip = f"{fleet.block}.1.{number}"
+        self.ip = f"{fleet.block}.2.{number}"
+        self.url = f"http://{self.real_ip}:{CALLER_PORT}"
+        self.process = None
+        self.log_path = fleet.folder / f"{name}.log"
+
+    def start(self, **settings):
+        """Start the process; settings are given as flags."""
+        flags = {
+            "vm": self.name,
+            "zone": self.zone,
+            "region": self.region,
+            "ip": self.real_ip,
+            "advertise_ip": self.ip,
+            "caller_port": CALLER_PORT,
+            "handoff_port": HANDOFF_PORT,
+            "peer_port": PEER_PORT,
+            "store_url": f"http://{self.fleet.store_ip}:{STORE_PORT}",
+            "seeds": " ".join(f"{v.zone}={v.ip}:{PEER_PORT}" for v in self.fleet.vms.values()),
+            **self.fleet.settings,
+            **settings,
+        }
+        command = [sys.executable, "-m", "gypsumwind"]
+        for name, value in flags.items():
+            command += ["--" + name.replace("_", "-"), str(value)]
+        env = {k: v for k, v in os.environ.items() if not k.startswith("GYPSUMWIND_")}
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=log, stdout=log)
+        return self
+
+    def signal(self, number):
+        """Send a signal to the process that this object started."""
+        self.process.send_signal(number)
+
+    def kill(self):
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(10)
+
+    def freeze(self):
+        """Pause the process."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let the paused process go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, timeout=60):
+        """Stop the process gracefully and return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(timeout)
+
+    def get(self, path):
+        """Return a page's JSON document, None if the daemon does not answer."""
+        try:
+            answer = self.fleet.http.request("GET", self.url + path, timeout=3)
+            return json.loads(answer.data) if answer.status == 200 else None
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+
+    def status(self):
+        """Return the status page, an empty one if the daemon does not answer."""
+        return self.get("/v1/status") or {"holds": {}, "tables": {}, "zones": {}, "vms": []}
+
+    @property
+    def running(self):
+        """Tell whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+class Fleet:
+    """Zones with VMs and upstreams; `zones` maps a zone to its region and number of VMs."""
+
+    def __init__(self, zones, services, settings=None, links=(), seed=1):
+        self.zones = zones
+        self.services = {s.name: s for s in services}
+        self.settings = {"entry_ttl_s": 1, "log_level": "INFO", **(settings or {})}
+        self.links = {(min(a, b), max(a, b)): rate for a, b, rate in links}
+        self.block = f"127.{20 + os.getpid() % 200}"
+        self.store_ip = f"{self.block}.4.1"
+        self.folder = Path(tempfile.mkdtemp(prefix="gypsumwind-"))
+        self.http = urllib3.PoolManager(retries=False, maxsize=16)
+        self.rng = random.Random(seed)
+        self.log = RunLog()
+        self.vms = {}
+        self.upstreams = {}
+        self._stack = ExitStack()
+        number = 0
+        for zone, (region, count) in zones.items():
+            for i in range(count):
+                number += 1
+                name = f"{zone}-{i + 1}"
+                self.vms[name] = Vm(self, name, zone, region, number)
+
+    def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self._stop()
+            raise
+        return self
+
+    def _start(self):
+        enter = self._stack.enter_context
+        self.store = enter(Store(self.store_ip, STORE_PORT))
+        self.proxy = enter(Proxy())
+        for vm in self.vms.values():
+            ports = (CALLER_PORT, HANDOFF_PORT, PEER_PORT)
+            self.proxy.forward(vm.ip, vm.real_ip, ports, (PEER_PORT,))
+        number = 0
+        for service in self.services.values():
+            for zone, (region, _) in self.zones.items():
+                for i in range(service.instances):
+                    number += 1
+                    name = f"{service.name}-{zone}-{i + 1}"
+                    ip = f"{self.block}.3.{number}"
+                    self.upstreams[name] = enter(
+                        Upstream(self.log, name, service.name, region, ip, UP_PORT, service.slots)
+                    )
+        self.apply()
+
+    def apply(self):
+        """Write the table and the places to the store."""
+        editor = self.editor()
+        zones = {zone: region for zone, (region, _) in self.zones.items()}
+        editor.edit_places(lambda p: Places(p.generation, zones, self.links, p.draining_vms))
+        for service in self.services.values():
+            editor.edit(service.name, self._edits(service), new_id())
+
+    def _edits(self, service):
+        regions = sorted({region for region, _ in self.zones.values()})
+        cells = {"weight": 100.0, "limit": 100, "shift_cap": 600.0, **service.cells}
+        edits = [
+            CellEdit(region, column, None, value)
+            for region in regions
+            for column, value in cells.items()
+        ]
+        for zone in self.zones:
+            for i in range(service.instances):
+                name = f"{service.name}-{zone}-{i + 1}"
+                up = self.upstreams[name]
+                inst = Instance(name, zone, up.address, service.slots)
+                edits.append(InstanceEdit(name, None, inst))
+        return edits
+
+    def editor(self, author="tester"):
+        """Return an editor of the table."""
+        url = f"http://{self.store_ip}:{STORE_PORT}"
+        return Editor(HttpStore(url, 2.0), author, self.rng)
+
+    def set_cell(self, service, region, column, value):
+        """Set one cell and return the result of the edit."""
+        editor = self.editor()
+        seen = editor.table(service).cells[region].get(column)
+        seen = seen.value if seen else None
+        return editor.edit(service, [CellEdit(region, column, seen, value)], new_id())
+
+    def start_vms(self, **settings):
+        """Start every daemon and wait until all instances are held."""
+        for vm in self.vms.values():
+            vm.start(**settings)
+        self.wait_settled()
+        return self
+
+    def wait_settled(self, timeout=30):
+        """Wait until every running VM knows the table and each instance has one holder."""
+        until(self.settled, timeout, 0.1, "fleet settled")
+
+    def settled(self):
+        """Tell whether each instance of zones with VMs is held once, and all VMs agree."""
+        running = [vm for vm in self.vms.values() if vm.running]
+        pages = {vm.name: vm.status() for vm in running}
+        if any(len(page["tables"]) < len(self.services) for page in pages.values()):
+            return False
+        if any(len(_alive(page)) != len(running) for page in pages.values()):
+            return False
+        zones = {vm.zone for vm in running}
+        held = [name for page in pages.values() for name in page["holds"]]
+        wanted = [n for n in self.upstreams if any(f"-{zone}-" in n for zone in zones)]
+        return sorted(held) == sorted(wanted)
+
+    def caller(self, zone=None):
+        """Return a caller that starts with the VMs of a zone."""
+        vms = [vm for vm in self.vms.values() if zone in (None, vm.zone)]
+        return Caller([vm.url for vm in vms])
+
+    def cut(self, some, others):
+        """Cut two sets of VMs from each other, in both directions."""
+        for one in some:
+            for other in others:
+                self.proxy.set_fault(one.real_ip, other.real_ip, cut=True)
+                self.proxy.set_fault(other.real_ip, one.real_ip, cut=True)
+
+    def in_zone(self, zone):
+        """Return the VMs of a zone."""
+        return [vm for vm in self.vms.values() if vm.zone == zone]
+
+    def __exit__(self, *_):
+        self._stop()
+
+    def _stop(self):
+        for vm in self.vms.values():
+            if vm.running:
+                vm.signal(signal.SIGCONT)
+                vm.kill()
+        self._stack.close()
+
+    def logs(self):
+        """Return the daemons' logs, for a failing test."""
+        return "\n".join(
+            f"--- {vm.name}\n{vm.log_path.read_text()}"
+            for vm in self.vms.values()
+            if vm.log_path.exists()
+        )
+
+
+def _alive(page):
+    return [vm for vm in page["vms"] if vm["state"] == "alive"]
--- /dev/null
+++ b/tests/standins/http.py
@@ -0,0 +1,50 @@
+"""A small threaded HTTP server for stand-ins."""
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class QuietHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    wbufsize = 65536
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        """Keep quiet."""
+
+    def reply(self, status, data=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+        self.wfile.flush()
+
+
+class _Threads(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+    allow_reuse_address = True
+
+    def handle_error(self, request, client_address):
+        """Connections that are cut are part of the tests."""
+
+
+class StandIn:
+    """Serves a handler class on an address; a context manager."""
+
+    def __init__(self, ip, port, handler):
+        self.server = _Threads((ip, port), handler)
+        self.server.standin = self
+        self.address = f"{ip}:{self.server.server_port}"
+        self.url = f"http://{self.address}"
+        self._thread = threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.server.shutdown()
+        self.server.server_close()
--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,230 @@
+"""Stand-ins for upstream instances: a slot count, a run log, and faults for tests.
+
+A request says in its query how it is to be run: `ms` (service time), `size` (bytes of the
+answer), `status`. The answer carries the hash of the request's body and of its own.
+"""
+
+import hashlib
+import json
+import random
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from tests.standins.http import QuietHandler, StandIn
+
+CHUNK = 65536
+
+
+@dataclass
+class Run:
+    """A request that an instance began to run."""
+
+    instance: str
+    service: str
+    path: str
+    key: str
+    foreign: bool
+    started: float
+    in_flight: int
+    foreign_in_flight: int
+    ended: float = 0.0
+
+
+@dataclass
+class RunLog:
+    """All runs of all instances, with counts sampled at the start of each."""
+
+    region_of: dict = field(default_factory=dict)
+    runs: list = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    in_flight: dict = field(default_factory=dict)
+    foreign: dict = field(default_factory=dict)
+
+    def begin(self, up, path, key, origin_region):
+        with self.lock:
+            foreign = origin_region != up.region
+            count = self.in_flight[up.name] = self.in_flight.get(up.name, 0) + 1
+            place = (up.service, up.region)
+            if foreign:
+                self.foreign[place] = self.foreign.get(place, 0) + 1
+            lent = self.foreign.get(place, 0)
+            run = Run(up.name, up.service, path, key, foreign, time.time(), count, lent)
+            self.runs.append(run)
+            return run
+
+    def end(self, up, run):
+        with self.lock:
+            self.in_flight[up.name] -= 1
+            if run.foreign:
+                self.foreign[(up.service, up.region)] -= 1
+            run.ended = time.time()
+
+    def keys(self):
+        """Return how often each key was run."""
+        counts = {}
+        for run in list(self.runs):
+            if run.key:
+                counts[run.key] = counts.get(run.key, 0) + 1
+        return counts
+
+    def greatest(self, instance):
+        """Return the greatest number in flight seen at an instance."""
+        return max((r.in_flight for r in self.runs if r.instance == instance), default=0)
+
+    def greatest_foreign(self, service):
+        """Return the greatest number of foreign requests in flight for a service."""
+        seen = (r.foreign_in_flight for r in self.runs if r.service == service and r.foreign)
+        return max(seen, default=0)
+
+
+class Upstream(StandIn):
+    """One instance of a service."""
+
+    def __init__(self, log, name, service, region, ip, port, slots):
+        super().__init__(ip, port, _Handler)
+        self.log = log
+        self.name = name
+        self.service = service
+        self.region = region
+        self.ip = ip
+        self.slots = slots
+        self.mode = "ok"
+        self.health = "ok"
+        self.frozen_load = None
+        self.cold_until = 0.0
+        self.rng = random.Random(name)
+
+
+class _Handler(QuietHandler):
+    def do_GET(self):
+        self._serve()
+
+    def do_POST(self):
+        self._serve()
+
+    def do_PUT(self):
+        self._serve()
+
+    def do_DELETE(self):
+        self._serve()
+
+    def _serve(self):
+        up = self.server.standin
+        url = urlsplit(self.path)
+        if url.path == "/health":
+            self._json({"state": up.health})
+        elif url.path == "/load":
+            count = up.log.in_flight.get(up.name, 0)
+            self._json({"in_flight": up.frozen_load if up.frozen_load is not None else count})
+        else:
+            self._run(up, url)
+
+    def _json(self, doc):
+        self.reply(200, json.dumps(doc).encode())
+
+    def _run(self, up, url):
+        query = {k: v[-1] for k, v in parse_qs(url.query).items()}
+        if up.mode == "shed":
+            self._read_body()
+            self.reply(503, b"shed", [("Retry-After", "1")])
+            return
+        if up.mode == "cut-before":
+            self.close_connection = True
+            return
+        region = self.headers.get("gypsumwind-origin-region", "")
+        run = up.log.begin(up, self.path, self.headers.get("Idempotency-Key", ""), region)
+        try:
+            digest = self._read_body()
+            time.sleep(int(query.get("ms", "0")) / 1000.0)
+            ended = up.log.end(up, run)
+            run = None
+            self._answer(up, query, digest, ended)
+        except OSError:
+            self.close_connection = True
+        finally:
+            if run is not None:
+                up.log.end(up, run)
+
+    def _read_body(self):
+        digest = hashlib.sha256()
+        if "chunked" in self.headers.get("Transfer-Encoding", ""):
+            for chunk in self._chunked():
+                digest.update(chunk)
+            return digest.hexdigest()
+        left = int(self.headers.get("Content-Length", "0"))
+        while left:
+            chunk = self.rfile.read(min(CHUNK, left))
+            if not chunk:
+                raise OSError("the body was cut")
+            left -= len(chunk)
+            digest.update(chunk)
+        return digest.hexdigest()
+
+    def _chunked(self):
+        while True:
+            line = self.rfile.readline()
+            if not line:
+                raise OSError("the body was cut")
+            size = int(line, 16)
+            data = self.rfile.read(size + 2)
+            if len(data) < size + 2:
+                raise OSError("the body was cut")
+            if not size:
+                return
+            yield data[:size]
+
+    def _answer(self, up, query, digest, _):
+        if up.mode == "fail":
+            self.reply(500, b"failed")
+            return
+        if up.mode == "cut-answer":
+            self.close_connection = True
+            return
+        size = int(query.get("size", "32"))
+        echo = query.get("echo", "")
+        block = hashlib.sha256(f"{echo}{size}".encode()).hexdigest().encode()
+        data = (block * (size // len(block) + 1))[:size]
+        self.send_response(int(query.get("status", "200")))
+        self.send_header("Content-Length", str(size))
+        self.send_header("X-Body-Hash", digest)
+        self.send_header("X-Answer-Hash", hashlib.sha256(data).hexdigest())
+        self.send_header("X-Echo", echo)
+        if up.health == "draining":
+            self.send_header("Upstream-Draining", "true")
+        self.end_headers()
+        if up.mode == "cut-middle":
+            self.wfile.write(data[: size // 2])
+            self.wfile.flush()
+            self.close_connection = True
+            return
+        if up.mode == "stall":
+            self.wfile.write(data[: size // 2])
+            self.wfile.flush()
+            time.sleep(5)
+        self.wfile.write(data)
+        self.wfile.flush()
+
+
+def main():
+    """Serve one instance until interrupted."""
+    import argparse
+
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--name", default="upstream-1")
+    parser.add_argument("--service", default="lookup")
+    parser.add_argument("--region", default="accra")
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=9100)
+    parser.add_argument("--slots", type=int, default=4)
+    args = parser.parse_args()
+    up = Upstream(RunLog(), args.name, args.service, args.region, args.ip, args.port, args.slots)
+    with up, suppress(KeyboardInterrupt):
+        print(up.url, flush=True)
+        threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
