Command line, readers and writers of the declared files, samples and a demo

Cause: operators had no way to write the table. Change: gypsumwind apply/diff/export/get/set/history/status/drain/undrain/lookup/ histograms/check; samples of the two deployments; make demo.

--- /dev/null
+++ b/gypsumwind/clients.py
@@ -0,0 +1,45 @@
+"""A client of a daemon's pages for operators: status, look-up, histograms."""
+
+import json
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from gypsumwind.errors import Code, GypsumwindError
+
+TIMEOUT_S = 5.0
+
+
+class EntryClient:
+    """Reads pages of one entry VM's daemon."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def page(self, path: str) -> Any:
+        """Return a page's document; GypsumwindError if the daemon does not give it."""
+        try:
+            answer = self._pool.request("GET", self._url + path, timeout=TIMEOUT_S)
+            doc = json.loads(answer.data)
+        except (HTTPError, ValueError) as exc:
+            raise GypsumwindError(
+                Code.PEER_UNREACHABLE, f"{self._url}{path}: {exc}; is --entry right?"
+            ) from exc
+        if answer.status != 200:
+            text = doc.get("error", doc) if isinstance(doc, dict) else doc
+            raise GypsumwindError(Code.NOT_FOUND, f"{self._url}{path}: {text}")
+        return doc
+
+    def status(self) -> dict[str, Any]:
+        """Return the status page."""
+        return self.page("/v1/status")
+
+    def lookup(self, service: str) -> dict[str, Any]:
+        """Return the look-up for a service."""
+        return self.page(f"/v1/entries?service={service}")
+
+    def histograms(self) -> list[dict[str, Any]]:
+        """Return the request histograms."""
+        return self.page("/v1/histograms")["histograms"]
--- /dev/null
+++ b/gypsumwind/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tools."""
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -128,16 +128,17 @@
 class Fleet:
     """Zones with VMs and upstreams; `zones` maps a zone to its region and number of VMs."""
 
-    def __init__(self, zones, services, settings=None, links=(), seed=1):
+    def __init__(self, zones, services, settings=None, links=(), seed=1, block=None):
         self.zones = zones
         self.services = {s.name: s for s in services}
         self.settings = {"entry_ttl_s": 1, "log_level": "INFO", **(settings or {})}
         self.links = {(min(a, b), max(a, b)): rate for a, b, rate in links}
-        self.block = f"127.{20 + os.getpid() % 200}"
+        self.block = block or f"127.{20 + os.getpid() % 200}"
         self.store_ip = f"{self.block}.4.1"
         self.folder = Path(tempfile.mkdtemp(prefix="gypsumwind-"))
         self.http = urllib3.PoolManager(retries=False, maxsize=16)
         self.rng = random.Random(seed)
+        self.declares = block is None
         self.log = RunLog()
         self.vms = {}
         self.upstreams = {}
@@ -174,7 +175,8 @@
                     self.upstreams[name] = enter(
                         Upstream(self.log, name, service.name, region, ip, UP_PORT, service.slots)
                     )
-        self.apply()
+        if self.declares:
+            self.apply()
 
     def apply(self):
         """Write the table and the places to the store."""
