--- a/gypsumwind/homes.py
+++ b/gypsumwind/homes.py
@@ -103,7 +103,7 @@
             return RequestError(Code.KEY_RUNNING, text, Verdict.MAY_HAVE_RUN, 409, wait)
         if begin is Begin.REUSED:
             text = "the key was used for another request"
-            return RequestError(Code.BAD_REQUEST, text, Verdict.NOT_RUN, 422)
+            return RequestError(Code.BAD_REQUEST, text, Verdict.MAY_HAVE_RUN, 422)
         if begin is Begin.FULL:
             text = "too many keys are remembered here"
             return RequestError(Code.KEY_TABLE_FULL, text, Verdict.NOT_RUN, 503, wait)
@@ -149,10 +149,14 @@
         self._copy: bytearray | None = bytearray()
 
     def stream(self) -> Iterator[bytes]:
-        """Yield the chunks and copy them."""
-        for chunk in self._chunks:
-            self._add(chunk)
-            yield chunk
+        """Yield the chunks and copy them; an answer that is cut leaves no copy."""
+        try:
+            for chunk in self._chunks:
+                self._add(chunk)
+                yield chunk
+        except RequestError:
+            self._copy = None
+            raise
 
     def rest(self) -> bytes | None:
         """Read on after the caller has gone, so that a repeat gets the whole answer."""
