Proofs of slots and lent limits under failure; a cancelled request keeps its slot a while

Cause: a slot was given back the moment a request was cancelled or ran out of time, while the upstream needs a moment to stop: by its own count it could be one over. Change: such a slot counts 0.5 s longer (the time an upstream has to stop, in docs/upstreams.md). Tests with two VMs a zone under load: overload, kill, quick restart, freeze past the fence and thaw, short freezes, a zone cut off, a one-way cut inside a zone, limits lowered and raised, every daemon replaced; checked at each start in the stand-ins.

--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -23,6 +23,7 @@
 from gypsumwind.core.attempts import Attempts
 from gypsumwind.core.choice import CHOICES
 from gypsumwind.core.fence import Fence
+from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyTable
 from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.core.ownership import ClaimReply, Hold, Ownership
@@ -354,11 +355,12 @@
     def _cancel_permit(self, message: msg.CancelPermit, now: float) -> None:
         self._waiting.pop(message.attempt, None)
         self._admission.cancel(message.attempt)
-        _, outcome = self._admission.finish(message.attempt, now)
+        _, outcome = self._admission.finish(message.attempt, False, now)
         self._settle(outcome)
 
     def _finish_permit(self, message: msg.FinishPermit, now: float) -> None:
-        state, outcome = self._admission.finish(message.attempt, now)
+        running = message.result in (Result.CANCELLED, Result.CUT)
+        state, outcome = self._admission.finish(message.attempt, running, now)
         self._settle(outcome)
         if state is None:
             return
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -12,6 +12,8 @@
 from gypsumwind.core.table import Instance, Places, ServiceTable, region_instances
 
 RETRY_AFTER_S = 1.0
+CANCEL_S = 0.5
+"""Time that an upstream has to stop work whose request was cancelled or ran out of time."""
 RETRY_JITTER = 0.5
 
 
@@ -233,11 +235,18 @@
         queue.append(_Waiter(req, min(req.deadline, now + self._queue_wait_s), self._order))
         return True, outcome
 
-    def finish(self, attempt: str, now: float) -> tuple[SlotState | None, Outcome]:
-        """Give a slot back and pass it to the first fitting request in the queue."""
+    def finish(self, attempt: str, running: bool, now: float) -> tuple[SlotState | None, Outcome]:
+        """Give a slot back and pass it to the first fitting request in the queue.
+
+        With `running` the upstream may not have stopped yet, so the slot counts a while longer.
+        """
         for state in self.states.values():
-            if state.in_flight.pop(attempt, None) is not None:
-                return state, self.drain_queue(state.service, now)
+            usage = state.in_flight.pop(attempt, None)
+            if usage is None:
+                continue
+            if running:
+                state.charges.append(Usage(now + CANCEL_S, usage.foreign))
+            return state, self.drain_queue(state.service, now)
         return None, Outcome()
 
     def observe(self, state: SlotState, result: Result, latency_s: float, now: float) -> bool:
--- a/gypsumwind/core/health.py
+++ b/gypsumwind/core/health.py
@@ -19,9 +19,11 @@
 
     OK = "ok"
     FAILED = "failed"
+    CUT = "cut"
     UNREACHABLE = "unreachable"
     SHED = "shed"
     CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,7 +107,7 @@
 
     def observe(self, result: Result, latency_s: float, now: float, may_eject: bool) -> bool:
         """Take in how a request ended; True when the instance is now ejected."""
-        if result in (Result.CANCELLED, Result.SHED):
+        if result in (Result.CANCELLED, Result.SHED, Result.NOT_SENT):
             return False
         if result is Result.OK:
             self._recover(now)
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -202,5 +202,5 @@
     if exc.code is Code.UPSTREAM_UNREACHABLE:
         return Result.UNREACHABLE
     if exc.code in (Code.UPSTREAM_FAILED, Code.DEADLINE_EXCEEDED):
-        return Result.FAILED
-    return Result.CANCELLED
+        return Result.CUT
+    return Result.NOT_SENT
--- /dev/null
+++ b/tests/integration/test_limits.py
@@ -0,0 +1,147 @@
+"""Slots and lent limits hold at every start of a request, whatever happens to the VMs."""
+
+import time
+
+import pytest
+
+from tests.standins.fleet import Fleet, Service, until
+from tests.standins.load import Load
+
+ZONES = {"accra-a": ("accra", 2), "accra-b": ("accra", 2), "kumasi-a": ("kumasi", 2)}
+LIMIT = 3
+
+
+@pytest.fixture
+def fleet():
+    services = [Service("lookup", slots=3, cells={"limit": LIMIT, "local_bias": 1.0})]
+    with Fleet(ZONES, services) as running:
+        yield running.start_vms()
+
+
+def check_limits(fleet, limit=LIMIT):
+    for name, up in fleet.upstreams.items():
+        assert fleet.log.greatest(name) <= up.slots, name
+    assert fleet.log.greatest_foreign("lookup") <= limit
+    assert len(fleet.log.runs) > 100
+
+
+def load(fleet):
+    return Load(fleet, "lookup", "/vents?ms=30", callers=8)
+
+
+def test_steady_overload(fleet):
+    with load(fleet):
+        time.sleep(3)
+    check_limits(fleet)
+    assert max(fleet.log.greatest(name) for name in fleet.upstreams) == 3
+    assert fleet.log.greatest_foreign("lookup") == LIMIT
+
+
+def test_kill_and_restart(fleet):
+    victim = fleet.vms["accra-a-1"]
+    with load(fleet):
+        time.sleep(1)
+        victim.kill()
+        until(lambda: len(fleet.vms["accra-a-2"].status()["holds"]) == 2, text="takeover")
+        time.sleep(1)
+        victim.start()
+        until(fleet.settled, text="hold handed back")
+        time.sleep(1)
+    check_limits(fleet)
+
+
+def test_quick_restart_before_any_takeover(fleet):
+    victim = fleet.vms["accra-a-1"]
+    with load(fleet):
+        for _ in range(3):
+            victim.kill()
+            victim.start()
+            until(fleet.settled)
+    check_limits(fleet)
+
+
+def test_freeze_past_the_fence_and_thaw(fleet):
+    victim = fleet.vms["accra-a-1"]
+    with load(fleet):
+        time.sleep(1)
+        victim.freeze()
+        until(lambda: len(fleet.vms["accra-a-2"].status()["holds"]) == 2, text="takeover")
+        time.sleep(0.5)
+        victim.thaw()
+        until(fleet.settled, text="hold handed back")
+        time.sleep(1)
+    check_limits(fleet)
+
+
+def test_short_freeze_moves_no_hold(fleet):
+    victim = fleet.vms["accra-a-1"]
+    before = victim.status()["holds"]
+    with load(fleet):
+        for _ in range(4):
+            victim.freeze()
+            time.sleep(0.8)
+            victim.thaw()
+            time.sleep(0.8)
+    check_limits(fleet)
+    assert victim.status()["holds"] == before
+
+
+def test_zone_cut_from_all_others_goes_on_serving(fleet):
+    inside, outside = fleet.in_zone("accra-a"), [
+        vm for vm in fleet.vms.values() if vm.zone != "accra-a"
+    ]
+    with load(fleet):
+        fleet.cut(inside, outside)
+        for vm in inside:
+            fleet.proxy.set_fault(vm.real_ip, fleet.store_ip, cut=True)
+        time.sleep(6)
+        counted = len(fleet.log.runs)
+        reply = fleet.caller("accra-a").send("lookup", "/alone")
+        assert reply.verdict == "answered"
+        assert "accra-a" in reply.headers["gypsumwind-instance"]
+        fleet.proxy.heal()
+        until(fleet.settled, text="zones found each other")
+        assert len(fleet.log.runs) > counted
+        time.sleep(1)
+    check_limits(fleet)
+
+
+def test_one_way_cut_inside_a_zone(fleet):
+    one, other = fleet.in_zone("accra-a")
+    with load(fleet):
+        fleet.proxy.set_fault(one.real_ip, other.real_ip, cut=True)
+        time.sleep(6)
+        fleet.proxy.heal()
+        until(fleet.settled, text="zone settled")
+    check_limits(fleet)
+
+
+def test_limit_is_lowered_and_raised_under_load(fleet):
+    with load(fleet):
+        time.sleep(1)
+        lowered = fleet.set_cell("lookup", "accra", "limit", 1)
+        fleet.set_cell("lookup", "kumasi", "limit", 1)
+        until(lambda: _in_force(fleet, lowered.generation + 1))
+        time.sleep(0.5)
+        mark = len(fleet.log.runs)
+        time.sleep(2)
+        seen = [r.foreign_in_flight for r in fleet.log.runs[mark:] if r.foreign]
+        assert seen and max(seen) <= 1
+        fleet.set_cell("lookup", "accra", "limit", LIMIT)
+        time.sleep(4)
+    check_limits(fleet)
+
+
+def _in_force(fleet, generation):
+    pages = [vm.status() for vm in fleet.vms.values()]
+    return all(page["tables"].get("lookup", 0) >= generation for page in pages)
+
+
+def test_every_daemon_replaced_one_after_the_other(fleet):
+    with load(fleet) as sent:
+        for vm in fleet.vms.values():
+            assert vm.stop() == 0
+            vm.start()
+            until(fleet.settled, text=f"{vm.name} replaced")
+    check_limits(fleet)
+    assert set(sent.verdicts()) <= {"answered", "not-run"}
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -7,6 +7,8 @@
 import hashlib
 import json
 import random
+import select
+import socket
 import threading
 import time
 from contextlib import suppress
@@ -138,7 +140,7 @@
         run = up.log.begin(up, self.path, self.headers.get("Idempotency-Key", ""), region)
         try:
             digest = self._read_body()
-            time.sleep(int(query.get("ms", "0")) / 1000.0)
+            self._work(int(query.get("ms", "0")) / 1000.0)
             ended = up.log.end(up, run)
             run = None
             self._answer(up, query, digest, ended)
@@ -148,6 +150,17 @@
             if run is not None:
                 up.log.end(up, run)
 
+    def _work(self, seconds):
+        """Take the time, but stop when the deadline passes or the request is cancelled."""
+        until = time.monotonic() + seconds
+        stop = time.monotonic() + int(self.headers.get("gypsumwind-timeout-ms", "60000")) / 1000
+        while (left := min(until, stop) - time.monotonic()) > 0:
+            readable, _, _ = select.select([self.connection], [], [], min(left, 0.1))
+            if readable and not self.connection.recv(1, socket.MSG_PEEK):
+                raise OSError("cancelled")
+        if stop < until:
+            raise OSError("the deadline has passed")
+
     def _read_body(self):
         digest = hashlib.sha256()
         if "chunked" in self.headers.get("Transfer-Encoding", ""):
