A hold that was handed on is never taken back by its first holder

Cause: found by the ownership machine: a hands over to b, the answer is lost, b hands on to c; a repeats its call, b knows a later epoch and answers 'not taken', a resumes: a and c admit at once. The same fault stood in a target that had taken the hold and then began to leave. Ruled out: the fence and the epochs, which were right; the boolean answer was too poor. Change: a hand-over is answered TAKEN, REFUSED (never taken: the holder goes on) or SUPERSEDED (taken and moved on: the holder drops it). An absent cell equals its column's default when two operators are compared.

--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -26,7 +26,7 @@
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyTable
 from gypsumwind.core.membership import Envelope, Membership
-from gypsumwind.core.ownership import ClaimReply, Hold, Ownership
+from gypsumwind.core.ownership import ClaimReply, HandoverReply, Hold, Ownership
 from gypsumwind.core.records import Record, Records
 from gypsumwind.core.table import places_from_json, table_from_json
 from gypsumwind.errors import TableError
@@ -417,14 +417,14 @@
         return hold, [*state.in_flight.values(), *state.live_charges(now)]
 
     def _end_handover(self, message: msg.EndHandover, now: float) -> None:
-        hold, outcome = message.hold, message.outcome
-        if outcome.taken:
-            self._ownership.finish_handover(hold)
-            self._metrics.event("hold-handed-over")
-        elif outcome.silent:
-            self._ownership.abandon_handover(hold.instance)
-        else:
-            self._ownership.cancel_handover(hold.instance)
+        match message.reply:
+            case HandoverReply.TAKEN:
+                self._ownership.finish_handover(message.hold)
+                self._metrics.event("hold-handed-over")
+            case HandoverReply.REFUSED:
+                self._ownership.cancel_handover(message.hold.instance)
+            case HandoverReply.SUPERSEDED:
+                self._ownership.abandon_handover(message.hold.instance)
         self._own()
         self._refuse_orphans(now)
 
@@ -433,14 +433,14 @@
         if not self._ownership.held:
             self._settle(self._admission.refuse_all(Reason.NO_INSTANCE))
 
-    def _accept_handover(self, message: msg.AcceptHandover, now: float) -> bool:
+    def _accept_handover(self, message: msg.AcceptHandover, now: float) -> HandoverReply:
         fresh = message.hold.instance not in self._ownership.held
-        taken = self._ownership.accept_handover(message.hold)
-        if taken and fresh:
+        reply = self._ownership.accept_handover(message.hold, message.leaving)
+        if reply is HandoverReply.TAKEN and fresh:
             self._admission.charge(message.hold.instance, list(message.usages))
             self._own()
             log.info("hold-taken", instance=message.hold.instance, epoch=message.hold.epoch)
-        return taken
+        return reply
 
     def _discharged(self, message: msg.Discharge, now: float) -> None:
         self._admission.discharge(message.instance)
--- a/gypsumwind/core/edits.py
+++ b/gypsumwind/core/edits.py
@@ -71,7 +71,8 @@
 def _conflict(table: ServiceTable, edit: CellEdit | InstanceEdit) -> str:
     if isinstance(edit, CellEdit):
         current = cell_value(table, edit.region, edit.column)
-        if current in (edit.seen, edit.value):
+        default = COLUMN_BY_NAME[edit.column].default
+        if _or(current, default) in (_or(edit.seen, default), edit.value):
             return ""
         place = f"{table.service}/{edit.region} column {edit.column}"
         return f"{place}: is now {current}, was seen as {edit.seen}, edit says {edit.value}"
@@ -81,6 +82,11 @@
     return f"{table.service} instance {edit.name}: is now {_content(found)}"
 
 
+def _or(value: CellValue | None, default: CellValue) -> CellValue:
+    """Return a cell's value; an absent cell has its column's default."""
+    return default if value is None else value
+
+
 def _content(inst: Instance | None) -> str:
     if inst is None:
         return ABSENT
--- a/gypsumwind/core/ownership.py
+++ b/gypsumwind/core/ownership.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 PROMISE_S = 3.0
 
@@ -38,6 +39,14 @@
     epoch: int
 
 
+class HandoverReply(IntEnum):
+    """How the target of a hand-over answers."""
+
+    TAKEN = 0
+    REFUSED = 1
+    SUPERSEDED = 2
+
+
 @dataclass(slots=True, frozen=True)
 class _Promise:
     claimant: str
@@ -179,23 +188,30 @@
             self.held.pop(hold.instance, None)
             self.known[hold.instance] = hold
 
-    def accept_handover(self, hold: Hold) -> bool:
-        """Take a hold that its holder hands over; repeated calls are answered alike."""
-        mine = self.held.get(hold.instance)
-        if mine is not None:
-            return mine == hold.epoch
-        known = self.known.get(hold.instance)
-        if known is not None and known.epoch >= hold.epoch:
-            return False
+    def accept_handover(self, hold: Hold, leaving: bool) -> HandoverReply:
+        """Take a hold that its holder hands over; repeated calls are answered alike.
+
+        A hold that was taken and has moved on since is SUPERSEDED, never REFUSED: its former
+        holder must not admit again.
+        """
+        current = self._current(hold.instance)
+        epoch = current.epoch if current else 0
+        if epoch > hold.epoch:
+            return HandoverReply.SUPERSEDED
+        if epoch == hold.epoch:
+            taken = hold.instance in self.held
+            return HandoverReply.TAKEN if taken else HandoverReply.SUPERSEDED
+        if leaving:
+            return HandoverReply.REFUSED
         self.held[hold.instance] = hold.epoch
-        return True
+        return HandoverReply.TAKEN
 
     def cancel_handover(self, instance: str) -> None:
         """The target refused the hold: keep it."""
         self.handing.pop(instance, None)
 
     def abandon_handover(self, instance: str) -> None:
-        """The target fell silent and may have taken the hold: it counts as the target's."""
+        """The target fell silent or the hold moved on: it counts as the target's."""
         hold = self.handing.get(instance)
         if hold is not None:
             self.finish_handover(hold)
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -111,7 +111,8 @@
   list<ScopeVersions> compare(1: list<ScopeDigest> digests)
   list<Record> exchange(1: list<Record> records, 2: list<Wanted> wanted)
   ClaimAnswer claim(1: string claimant, 2: list<Hold> claims)
-  bool hand_over(1: Hold hold, 2: list<UsageLeft> usages)
+  // 0 taken, 1 refused, 2 superseded
+  i32 hand_over(1: Hold hold, 2: list<UsageLeft> usages)
   void discharge(1: string instance)
   bool void_attempt(1: string attempt, 2: i64 remaining_ms, 3: i64 incarnation)
 }
--- a/gypsumwind/holds.py
+++ b/gypsumwind/holds.py
@@ -8,7 +8,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.board import Board, HoldsView
 from gypsumwind.core.membership import Endpoint, Member, State
-from gypsumwind.core.ownership import Claim, ClaimReply, Hold
+from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.rendezvous import named_vm
 from gypsumwind.gossip import zone_vms
 from gypsumwind.log import Log
@@ -87,16 +87,16 @@
             return
         hold, usages = started
         try:
-            taken = self._peers.hand_over(member.endpoint, hold, usages)
+            reply = self._peers.hand_over(member.endpoint, hold, usages)
         except PeerError:
             return
-        msg.ask(self._gate, msg.EndHandover(hold, msg.HandoverOutcome(taken)))
+        msg.ask(self._gate, msg.EndHandover(hold, reply))
 
     def _give_up(self, name: str, target: str) -> None:
         """The target of a hand-over is silent: what it may have taken counts as its own."""
         if self._board.members.dead(target, self._silence_s, monotonic()):
-            outcome = msg.HandoverOutcome(taken=False, silent=True)
-            msg.ask(self._gate, msg.EndHandover(Hold(name, target, 0), outcome))
+            end = msg.EndHandover(Hold(name, target, 0), HandoverReply.SUPERSEDED)
+            msg.ask(self._gate, end)
 
     def _claim(self, wanted: list[str], view: HoldsView) -> None:
         present = self._board.members.present(self._cfg.zone)
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -9,7 +9,7 @@
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
 from gypsumwind.core.health import Result
 from gypsumwind.core.membership import Ack, Member, Probe, State
-from gypsumwind.core.ownership import Claim, ClaimReply, Hold
+from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.table import Places, ServiceTable
 
@@ -202,26 +202,19 @@
 
 @dataclass(slots=True, frozen=True)
 class EndHandover:
-    """To the gate actor: the target took the hold, refused it, or fell silent."""
+    """To the gate actor: how a hand-over ended; SUPERSEDED also when the target is silent."""
 
     hold: Hold
-    outcome: "HandoverOutcome"
-
-
-@dataclass(slots=True, frozen=True)
-class HandoverOutcome:
-    """How a hand-over ended."""
-
-    taken: bool
-    silent: bool = False
+    reply: HandoverReply
 
 
 @dataclass(slots=True, frozen=True)
 class AcceptHandover:
-    """To the gate actor: take a hold with its requests in flight; answers True if taken."""
+    """To the gate actor: take a hold with its requests in flight; answers a HandoverReply."""
 
     hold: Hold
     usages: tuple[Usage, ...]
+    leaving: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -22,7 +22,7 @@
 from gypsumwind.board import Board
 from gypsumwind.core.admission import Usage
 from gypsumwind.core.membership import Endpoint
-from gypsumwind.core.ownership import Claim, ClaimReply, Hold
+from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.errors import Code, GypsumwindError
 from gypsumwind.settings import Settings
@@ -102,11 +102,11 @@
         answer = self._call(to, "claim", claimant, [claim_to_wire(c) for c in claims])
         return [reply_from_wire(reply) for reply in answer.replies], list(answer.live)
 
-    def hand_over(self, to: Endpoint, hold: Hold, usages: Sequence[Usage]) -> bool:
-        """Hand a hold to a peer with what is in flight; True when it has taken it."""
+    def hand_over(self, to: Endpoint, hold: Hold, usages: Sequence[Usage]) -> HandoverReply:
+        """Hand a hold to a peer with what is in flight."""
         now = monotonic()
         left = [thrift.UsageLeft(max(0, int((u.deadline - now) * 1000)), u.foreign) for u in usages]
-        return bool(self._call(to, "hand_over", hold_to_wire(hold), left))
+        return HandoverReply(self._call(to, "hand_over", hold_to_wire(hold), left))
 
     def discharge(self, to: Endpoint, instance: str) -> None:
         """Tell the new owner that a request of ours on an instance has finished."""
@@ -177,14 +177,13 @@
             [reply_to_wire(reply) for reply in replies], [*live, self._cfg.vm]
         )
 
-    def hand_over(self, hold: Any, usages: list[Any]) -> bool:
-        """Take a hold unless this VM is itself leaving."""
-        if self._board.leaving:
-            return False
+    def hand_over(self, hold: Any, usages: list[Any]) -> int:
+        """Take a hold, or refuse it because this VM is itself leaving."""
         now = monotonic()
         left = tuple(Usage(now + u.remaining_ms / 1000.0, u.foreign) for u in usages)
-        message = msg.AcceptHandover(hold_from_wire(hold), left)
-        return bool(msg.ask(self._gate, message))
+        offered = hold_from_wire(hold)
+        message = msg.AcceptHandover(offered, left, self._board.leaving)
+        return int(msg.ask(self._gate, message))
 
     def discharge(self, instance: str) -> None:
         """A previous owner finished one request."""
--- /dev/null
+++ b/tests/integration/test_table.py
@@ -0,0 +1,196 @@
+"""An accepted edit is in force everywhere within seconds and never reverts."""
+
+import threading
+import time
+
+import pytest
+
+from gypsumwind.core.edits import CellEdit
+from gypsumwind.editors import Stored
+from gypsumwind.utils import new_id
+from tests.standins.fleet import Fleet, Service, until
+
+ZONES = {"accra-a": ("accra", 3), "accra-b": ("accra", 1), "kumasi-a": ("kumasi", 1)}
+
+
+class Generations:
+    """Watches that the generation in force at each VM never falls.
+
+    A process that has just started and has no table yet serves nothing by it.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.fell = []
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self._run)
+
+    def _run(self):
+        seen = {}
+        while not self.ended.wait(0.05):
+            for vm in self.fleet.vms.values():
+                now = vm.status()["tables"].get("lookup", 0)
+                if 0 < now < seen.get(vm.name, 0):
+                    self.fell.append((vm.name, seen[vm.name], now))
+                seen[vm.name] = max(now, seen.get(vm.name, 0))
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.ended.set()
+        self.thread.join()
+
+
+@pytest.fixture
+def fleet():
+    with Fleet(ZONES, [Service("lookup")]) as running:
+        running.start_vms()
+        with Generations(running) as generations:
+            yield running
+        assert generations.fell == []
+
+
+def in_force(fleet, generation, vms=None):
+    vms = vms or fleet.vms.values()
+    return all(vm.status()["tables"].get("lookup", 0) >= generation for vm in vms)
+
+
+def edit(fleet, column, seen, value, editor=None, edit_id=None):
+    editor = editor or fleet.editor()
+    cell = CellEdit("accra", column, seen, value)
+    return editor.edit("lookup", [cell], edit_id or new_id())
+
+
+def test_two_operators_on_the_same_and_on_neighbouring_cells(fleet):
+    first = edit(fleet, "limit", 100, 7)
+    second = edit(fleet, "limit", 100, 9)
+    neighbour = edit(fleet, "reserve", None, 2)
+    assert (first.outcome, neighbour.outcome) == (Stored.STORED, Stored.STORED)
+    assert second.outcome is Stored.REFUSED
+    assert "is now 7, was seen as 100, edit says 9" in second.text
+    until(lambda: in_force(fleet, neighbour.generation), 10)
+
+
+def test_racing_operators_lose_no_accepted_edit(fleet):
+    results = []
+
+    def race(column):
+        for value in range(1, 6):
+            seen = fleet.editor().table("lookup").cell("accra", column).value
+            results.append((column, value, edit(fleet, column, seen, value)))
+
+    threads = [threading.Thread(target=race, args=(c,)) for c in ("limit", "reserve")]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert all(r.outcome is Stored.STORED for _, _, r in results)
+    history = fleet.editor().table("lookup").history
+    assert sum(r.place in ("accra/limit", "accra/reserve") for r in history) >= 10
+
+
+def test_answer_that_was_lost_after_the_write_is_told_as_stored(fleet):
+    fleet.store.set_mode("lose")
+    result = edit(fleet, "limit", 100, 7)
+    fleet.store.set_mode("ok")
+    assert result.outcome is Stored.STORED
+    assert fleet.editor().table("lookup").cell("accra", "limit").value == 7
+    until(lambda: in_force(fleet, result.generation), 15)
+
+
+def test_store_that_is_down_refuses_and_one_that_hangs_on_the_write_is_unknown(fleet):
+    fleet.store.set_mode("down")
+    assert edit(fleet, "limit", 100, 7).outcome is Stored.REFUSED
+    fleet.store.set_mode("ok")
+    edit_id = new_id()
+    editor = fleet.editor()
+    put = editor._store.put
+
+    def hanging_put(key, value, expected):
+        fleet.store.set_mode("hang")
+        return put(key, value, expected)
+
+    editor._store.put = hanging_put
+    assert edit(fleet, "limit", 100, 7, editor, edit_id).outcome is Stored.UNKNOWN
+    fleet.store.set_mode("ok")
+    assert edit(fleet, "limit", 100, 7, None, edit_id).outcome is Stored.STORED
+
+
+def test_calls_are_served_while_the_store_is_gone_and_edits_follow_after(fleet):
+    caller = fleet.caller("accra-a")
+    fleet.store.set_mode("hang")
+    until_s = time.monotonic() + 6
+    while time.monotonic() < until_s:
+        assert caller.send("lookup", "/x").verdict == "answered"
+    fleet.store.set_mode("ok")
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation), 20)
+
+
+def test_daemon_that_starts_while_the_store_is_gone_gets_the_table_from_peers(fleet):
+    vm = fleet.vms["accra-a-1"]
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation), 10)
+    vm.kill()
+    fleet.store.set_mode("hang")
+    vm.start()
+    until(lambda: in_force(fleet, result.generation, [vm]), 15)
+    until(lambda: vm.get("/readyz"))
+    fleet.store.set_mode("ok")
+
+
+def test_store_that_comes_back_with_old_data_is_mended(fleet):
+    backup = fleet.store.snapshot()
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation), 10)
+    fleet.store.restore(backup)
+    until(lambda: fleet.editor().table("lookup").cell("accra", "limit").value == 7, 20)
+    later = edit(fleet, "limit", 7, 8)
+    until(lambda: in_force(fleet, later.generation), 10)
+
+
+def test_edit_on_old_data_is_merged_with_what_is_in_force(fleet):
+    backup = fleet.store.snapshot()
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation), 10)
+    with fleet.store.changed:
+        fleet.store.restore(backup)
+        doc = dict(fleet.store.objects["config/table/lookup"]["value"])
+    on_old = edit(fleet, "reserve", None, 3)
+    assert doc["generation"] < result.generation and on_old.outcome is Stored.STORED
+
+    def merged():
+        tables = [vm.get("/v1/table/lookup") or {"rows": {}} for vm in fleet.vms.values()]
+        rows = [table["rows"].get("accra", {}) for table in tables]
+        cells = [(r["limit"]["value"], r.get("reserve", {"value": 0})["value"]) for r in rows]
+        return cells == [(7, 3)] * len(fleet.vms)
+
+    until(merged, 20)
+
+
+def test_zone_cut_from_the_platform_gets_the_edit_from_its_peers(fleet):
+    fleet.cut_store(fleet.in_zone("accra-a"))
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation), 10)
+
+
+def test_zone_cut_from_everything_serves_and_catches_up(fleet):
+    inside = fleet.in_zone("kumasi-a")
+    others = [vm for vm in fleet.vms.values() if vm.zone != "kumasi-a"]
+    fleet.cut(inside, others)
+    fleet.cut_store(inside)
+    result = edit(fleet, "limit", 100, 7)
+    until(lambda: in_force(fleet, result.generation, others), 10)
+    assert not in_force(fleet, result.generation, inside)
+    until(lambda: fleet.caller("kumasi-a").send("lookup", "/x").verdict == "answered", 15)
+    fleet.proxy.heal()
+    until(lambda: in_force(fleet, result.generation), 15)
+
+
+def test_only_delegates_hold_watches(fleet):
+    """Two of the three VMs of accra-a watch, and one of each other zone."""
+    until(lambda: fleet.store.watching == 4, 60)
+    time.sleep(2)
+    assert fleet.store.watching == 4
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -24,6 +24,7 @@
         self.mode = "ok"
         self.reads = 0
         self.writes = 0
+        self.watching = 0
 
     def set_mode(self, mode):
         """Set ok, down (503), hang, or lose (writes take effect, answers are cut)."""
@@ -68,10 +69,12 @@
         """Wait for a change under a prefix."""
         until = time.monotonic() + wait_s
         with self.changed:
+            self.watching += 1
             while self.mode == "ok" and self.revision >= after:
                 if self.under(prefix, after) or time.monotonic() >= until:
                     break
                 self.changed.wait(max(0.0, until - time.monotonic()))
+            self.watching -= 1
             return {"objects": self.under(prefix, after), "revision": self.revision}
 
 
