A zone without live VMs is served by its region's other zones

Cause: nine VMs over six zones leave zones with a single one; when it stopped or died the zone's upstreams were lost until it was replaced. Weighed: quota for remote origins (needs agreement between regions), nothing at all (a third of a region's capacity lost by one VM). A zone that is only cut off must not be adopted: its upstreams do not answer the adopter's probe either. A region's weight is split over its reachable zones. A cut of the entry VMs alone, with the upstreams reachable from outside, would be taken for death: the bound is then the instance's own shedding (docs).

--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -300,7 +300,7 @@
     def _sync_tables(self, message: msg.SyncTables, now: float) -> None:
         settle_at = now + self._cfg.settle_s
         for table in message.tables:
-            self._admission.sync_table(table, message.places, self._cfg.zone, settle_at)
+            self._admission.sync_table(table, message.places, self._cfg.region, settle_at)
         self._mark_leaving()
 
     def _sync_leaving(self, message: msg.SyncLeaving, now: float) -> None:
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -169,15 +169,16 @@
         self._queues: dict[str, list[_Waiter]] = {}
         self._order = 0
 
-    def sync_table(self, table: ServiceTable, places: Places, zone: str, settle_at: float) -> None:
-        """Take in a version of a service's table for the instances of this zone."""
-        region = places.region_of(zone)
+    def sync_table(
+        self, table: ServiceTable, places: Places, region: str, settle_at: float
+    ) -> None:
+        """Take in a version of a service's table for the instances of this region."""
         row = table.row(region)
         siblings = region_instances(table, places, region)
         lent = instance_shares(row.limit, siblings)
         reserve = instance_shares(row.reserve, siblings)
         names = set()
-        for inst in table.zone_instances(zone):
+        for inst in siblings:
             names.add(inst.name)
             limits = Limits(inst.slots, lent.get(inst.name, 0), reserve.get(inst.name, 0))
             self._sync_instance(table.service, inst, limits, settle_at)
--- a/gypsumwind/core/table.py
+++ b/gypsumwind/core/table.py
@@ -191,6 +191,10 @@
         """Return the region of a zone, or an empty text for an unknown zone."""
         return self.zones.get(zone, "")
 
+    def zones_of(self, region: str) -> list[str]:
+        """Return the zones of a region."""
+        return sorted(zone for zone, of in self.zones.items() if of == region)
+
     def link_budget(self, one: str, other: str) -> float | None:
         """Return the bytes a second of a pair of regions each way, or None if not limited."""
         return self.links.get((min(one, other), max(one, other)))
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -243,7 +243,8 @@
         log.info("stopped", in_flight=self._in_flight())
 
     def _idle(self) -> bool:
-        heirs = self._board.members.live(self._cfg.zone)
+        zones = {self._cfg.zone, *self._board.places.zones_of(self._cfg.region)}
+        heirs = [m for m in self._board.members.live() if m.zone in zones]
         return self._in_flight() == 0 and not (self._board.holds.held and heirs)
 
     def _in_flight(self) -> int:
--- a/gypsumwind/origins.py
+++ b/gypsumwind/origins.py
@@ -110,20 +110,23 @@
         self, table: ServiceTable, call: Call, zone: str, region: str, now: float
     ) -> ZoneOption | None:
         slots = sum(inst.slots for inst in table.zone_instances(zone))
+        if not slots or not self._reachable(zone):
+            return None
         region_slots = sum(
             inst.slots
             for inst in table.instances.values()
-            if self._board.places.region_of(inst.zone) == region
+            if self._board.places.region_of(inst.zone) == region and self._reachable(inst.zone)
         )
-        if not slots:
-            return None
         row = table.row(region)
         weight = row.weight.weight_at(now) * slots / region_slots
         if region == self._cfg.region:
             weight *= row.local_bias
         free, known = self._free(table.service, call, zone, region, now)
-        reachable = zone == self._cfg.zone or bool(self._board.members.live(zone))
-        return ZoneOption(zone, weight, free if known else 1, reachable, 0.0)
+        return ZoneOption(zone, weight, free if known else 1, True, 0.0)
+
+    def _reachable(self, zone: str) -> bool:
+        """Tell whether a zone has VMs that are reached; its neighbours serve for one without."""
+        return zone == self._cfg.zone or bool(self._board.members.live(zone))
 
     def _free(
         self, service: str, call: Call, zone: str, region: str, now: float
--- a/gypsumwind/probes.py
+++ b/gypsumwind/probes.py
@@ -39,7 +39,7 @@
         found = [
             inst
             for table in self._board.tables.values()
-            for inst in table.zone_instances(self._cfg.zone)
+            for inst in table.instances.values()
             if inst.name in held
         ]
         list(self._workers.map(self._probe, found))
