A planned stop hands the memory of idempotency keys to an heir

Weighed: keys in the platform's store (several hundred writes a second carry a tenth of them), a replica per key (two hops on the path of every booking). Change: a stopping home closes its key table, gives the entries to a VM of its zone in batches and then the home itself; the record heir/<vm>/<incarnation> tells the fleet, until the keys expire. Entries that never ended count as may-have-run. Answers kept for replay are bounded in bytes (key_bytes). An heir that dies takes the keys with it: may-have-run, never a second run.

--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -5,12 +5,13 @@
 import socket
 from collections.abc import Callable
 from concurrent.futures import Future
+from dataclasses import replace
 from typing import Any
 
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.board import Board, HoldsView, MembersView, VmLoad, ZoneLoad
+from gypsumwind.board import Board, Heir, HoldsView, MembersView, VmLoad, ZoneLoad
 from gypsumwind.core.admission import (
     Admission,
     Granted,
@@ -42,6 +43,7 @@
 PLACES_KEY = "places"
 VM_PREFIX = "vm/"
 ZONE_PREFIX = "zone/"
+HEIR_PREFIX = "heir/"
 VMLIST_KEY = "vmlist"
 REPORT_WAIT_S = 1.5
 
@@ -121,6 +123,7 @@
             case msg.PutRecords():
                 return self._put(message.records)
             case msg.PublishRecord():
+                self._prune()
                 return self._put((self._next_version(message),))
             case msg.GetDigests():
                 return {scope: self._records.digest(scope) for scope in self._records.scopes()}
@@ -145,6 +148,14 @@
             self._spread(tables)
         return kept
 
+    def _prune(self) -> None:
+        """Forget who inherited keys that have expired."""
+        for heir in list(self._board.heirs.values()):
+            if heir.expires <= wall():
+                self._records.drop(heir_key(heir.home))
+                heirs = self._board.heirs
+                self._board.heirs = {h: v for h, v in heirs.items() if h != heir.home}
+
     def _next_version(self, message: msg.PublishRecord) -> Record:
         known = self._records.get(message.key)
         version = max(int(wall() * 1000), known.version + 1 if known else 0)
@@ -154,6 +165,8 @@
         try:
             _decode(record)
         except (ValueError, TableError) as exc:
+            if record.key.startswith(HEIR_PREFIX):
+                return False
             log.error("record-unreadable", key=record.key, error=str(exc))
             return False
         return True
@@ -169,12 +182,19 @@
         elif record.key.startswith(VM_PREFIX):
             board.vms = {**board.vms, value.vm: value}
             self._gate.tell(msg.LearnHolds(value.vm, value.holds))
+        elif record.key.startswith(HEIR_PREFIX):
+            board.heirs = {**board.heirs, value.home: value}
         elif record.key.startswith(ZONE_PREFIX):
             board.zones = {**board.zones, value.zone: value}
         elif record.key == VMLIST_KEY:
             self._gate.tell(msg.SyncLeaving(frozenset(value)))
 
 
+def heir_key(home: msg.HomeId) -> str:
+    """Return the key of the record that says who inherited a home's keys."""
+    return f"{HEIR_PREFIX}{home[0]}/{home[1]}"
+
+
 def _decode(record: Record) -> Any:
     """Return the typed value of a record; ValueError or TableError if it is unreadable."""
     if record.key == PLACES_KEY:
@@ -187,6 +207,8 @@
         return zone_load_from_bytes(record.payload)
     if record.key == VMLIST_KEY:
         return json.loads(record.payload)
+    if record.key.startswith(HEIR_PREFIX):
+        return heir_from_bytes(record.payload)
     raise ValueError(f"unknown kind of record: {record.key}")
 
 
@@ -207,6 +229,14 @@
     return ZoneLoad(wire.zone, wire.at, wire.vms, headroom, wire.generations)
 
 
+def heir_from_bytes(payload: bytes) -> Heir:
+    """Read the payload of an heir/ record; ValueError if it has expired."""
+    wire = unpack(thrift.Heir, payload)
+    if wire.expires <= wall():
+        raise ValueError("expired")
+    return Heir((wire.vm, wire.incarnation), wire.heir, wire.expires)
+
+
 class GateActor(pykka.ThreadingActor):
     """Owns holds, slots, attempts and the fence of this VM: all that guards a capacity."""
 
@@ -464,25 +494,48 @@
 class HomeActor(pykka.ThreadingActor):
     """Owns the memory of the idempotency keys whose home is this VM."""
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, home: msg.HomeId, capacity: int, max_bytes: int) -> None:
         super().__init__()
         self._keys: KeyTable[msg.StoredOutcome] = KeyTable(capacity)
+        self._homes: set[msg.HomeId] = {home}
+        self._max_bytes = max_bytes
+        self._bytes = 0
 
     def on_receive(self, message: Any) -> Any:
-        """Handle BeginKey, FinishKey, ForgetKey and Tick."""
+        """Handle the messages about keys, and Tick."""
         match message:
             case msg.BeginKey():
                 return self._keys.begin(message.key, message.fingerprint, message.expires, wall())
             case msg.KnowsKey():
                 return message.key in self._keys
             case msg.FinishKey():
-                self._keys.finish(message.key, message.outcome)
+                self._keys.finish(message.key, self._fitting(message.outcome))
             case msg.ForgetKey():
                 self._keys.forget(message.key)
+            case msg.StandsFor():
+                return message.home in self._homes
+            case msg.CloseHome():
+                return msg.HomeLegacy(tuple(self._homes), tuple(self._keys.close()))
+            case msg.InheritKeys():
+                self._keys.inherit(message.legacy.entries)
+                self._homes.update(message.legacy.homes)
             case msg.Tick():
-                self._keys.expire(wall())
+                self._expire()
         return None
 
+    def _fitting(self, outcome: msg.StoredOutcome) -> msg.StoredOutcome:
+        """Return the outcome, without its body when the memory for bodies is used up."""
+        size = len(outcome.body or b"")
+        if self._bytes + size > self._max_bytes:
+            return replace(outcome, body=None)
+        self._bytes += size
+        return outcome
+
+    def _expire(self) -> None:
+        self._keys.expire(wall())
+        outcomes = (entry.outcome for entry in self._keys.entries())
+        self._bytes = sum(len(o.body or b"") for o in outcomes if o is not None)
+
 
 def permit_future(
     gate: "pykka.ActorRef[GateActor]", request: PermitRequest
--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -64,6 +64,15 @@
     generations: Mapping[str, int]
 
 
+@dataclass(slots=True, frozen=True)
+class Heir:
+    """The VM that stands for a home of keys after that home's planned stop."""
+
+    home: tuple[str, int]
+    vm: str
+    expires: float
+
+
 @dataclass(slots=True, frozen=True)
 class HoldsView:
     """What this VM holds, hands over and knows to be held by others, and its load."""
@@ -78,7 +87,17 @@
 class Board:
     """The latest snapshots: members, tables, places, loads, holds, and the fence."""
 
-    __slots__ = ("members", "tables", "places", "vms", "zones", "holds", "fence_until", "leaving")
+    __slots__ = (
+        "members",
+        "tables",
+        "places",
+        "vms",
+        "zones",
+        "heirs",
+        "holds",
+        "fence_until",
+        "leaving",
+    )
 
     def __init__(self, me: Member) -> None:
         self.members = MembersView(me, {}, {})
@@ -86,6 +105,7 @@
         self.places = Places()
         self.vms: Mapping[str, VmLoad] = {}
         self.zones: Mapping[str, ZoneLoad] = {}
+        self.heirs: Mapping[tuple[str, int], Heir] = {}
         self.holds = HoldsView()
         self.fence_until = 0.0
         self.leaving = False
--- a/gypsumwind/core/idempotency.py
+++ b/gypsumwind/core/idempotency.py
@@ -5,6 +5,7 @@
 is never run again.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Generic, TypeVar
@@ -47,27 +48,39 @@
     EXPIRED = "expired"
     REUSED = "reused"
     FULL = "full"
+    MOVED = "moved"
 
 
 @dataclass(slots=True)
-class _Entry(Generic[Outcome]):
+class KeyEntry(Generic[Outcome]):
+    """A key that was begun: what it asked for, when it expires, and its outcome if it ended."""
+
+    key: str
     fingerprint: str
     expires: float
     outcome: Outcome | None = None
 
 
 class KeyTable(Generic[Outcome]):
-    """The home's memory of keys, bounded in number; a full table refuses new keys."""
+    """The home's memory of keys, bounded in number; a full table refuses new keys.
+
+    A home that stops closes its table and hands it to an heir, which goes on as the home.
+    """
 
-    __slots__ = ("_entries", "_capacity")
+    __slots__ = ("_entries", "_capacity", "_closed")
 
     def __init__(self, capacity: int) -> None:
-        self._entries: dict[str, _Entry[Outcome]] = {}
+        self._entries: dict[str, KeyEntry[Outcome]] = {}
         self._capacity = capacity
+        self._closed = False
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    def entries(self) -> Iterable[KeyEntry[Outcome]]:
+        """Return all entries."""
+        return self._entries.values()
+
     def __contains__(self, key: str) -> bool:
         return key in self._entries
 
@@ -78,6 +91,8 @@
 
         The fingerprint tells what is asked for: another one under the same key is REUSED.
         """
+        if self._closed:
+            return Begin.MOVED, None
         if now >= expires:
             return Begin.EXPIRED, None
         entry = self._entries.get(key)
@@ -90,7 +105,7 @@
             self.expire(now)
         if len(self._entries) >= self._capacity:
             return Begin.FULL, None
-        self._entries[key] = _Entry(fingerprint, expires)
+        self._entries[key] = KeyEntry(key, fingerprint, expires)
         return Begin.RUN, None
 
     def finish(self, key: str, outcome: Outcome) -> None:
@@ -103,6 +118,16 @@
         """The key certainly did not run: let it be begun again."""
         self._entries.pop(key, None)
 
+    def close(self) -> list[KeyEntry[Outcome]]:
+        """Begin no more keys, and return all entries for the heir."""
+        self._closed = True
+        return list(self._entries.values())
+
+    def inherit(self, entries: Iterable[KeyEntry[Outcome]]) -> None:
+        """Take in the entries of a home that stopped; one without outcome never ends here."""
+        for entry in entries:
+            self._entries.setdefault(entry.key, entry)
+
     def expire(self, now: float) -> None:
         """Forget keys past their expiry; begin() refuses them by the expiry itself."""
         self._entries = {k: e for k, e in self._entries.items() if e.expires > now}
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -19,6 +19,7 @@
 from gypsumwind.handoffs import Handoffs
 from gypsumwind.holds import HoldsTask
 from gypsumwind.homes import Home, HomeParts
+from gypsumwind.legacies import Legacy
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
 from gypsumwind.origins import Origin
@@ -151,7 +152,7 @@
         sock.bind((cfg.ip, cfg.peer_port))
         self._gate = GateActor.start(cfg, board, self._metrics, self._discharge, self._rng)
         self._records = RecordsActor.start(board, cfg.zone, self._gate, self._spread.put)
-        self._home = HomeActor.start(cfg.key_capacity)
+        self._home = HomeActor.start((cfg.vm, self._boot), cfg.key_capacity, cfg.key_bytes)
         seeds = [Endpoint(s.ip, 0, 0, s.peer_port) for s in cfg.seeds]
         timing = Timing(cfg.probe_s, cfg.probe_ack_s, cfg.suspect_s)
         membership = Membership(self._me, seeds, timing, self._rng, monotonic())
@@ -185,7 +186,7 @@
         parts = Parts(board, self._gate, gate, origin, home, self._metrics, self._ready)
         self._callers = CallerPages(cfg, parts, rng)
         self._handoffs = HandoffPages(cfg, parts, rng)
-        service = PeerService(cfg, board, self._boot, self._records, self._gate)
+        service = PeerService(cfg, board, self._boot, self._records, self._gate, self._home)
         enter = self._stack.enter_context
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         threads = cfg.threads
@@ -231,17 +232,25 @@
 
     def stop(self) -> None:
         """Leave: out of look-ups, wait for cached ones, hand over, finish what is in flight."""
+        cfg = self._cfg
         self._stopping = True
         self.follow_drain()
-        deadline = monotonic() + self._cfg.stop_s
-        look_ups_expire = monotonic() + 2 * self._cfg.entry_ttl_s
+        deadline = monotonic() + cfg.stop_s
+        look_ups_expire = monotonic() + 2 * cfg.entry_ttl_s
         while monotonic() < deadline:
             if monotonic() >= look_ups_expire and self._idle():
                 break
             time.sleep(POLL_S)
+        Legacy(cfg, self._board, self._home, self._records, self._gossip).hand_on()
+        self._finish_in_flight(deadline)
         self._members.ask(msg.Leave(State.LEFT), timeout=msg.ASK_TIMEOUT_S)
         log.info("stopped", in_flight=self._in_flight())
 
+    def _finish_in_flight(self, deadline: float) -> None:
+        """Wait for requests that arrived meanwhile, such as repeats that follow their keys."""
+        while self._in_flight() and monotonic() < deadline:
+            time.sleep(POLL_S)
+
     def _idle(self) -> bool:
         zones = {self._cfg.zone, *self._board.places.zones_of(self._cfg.region)}
         heirs = [m for m in self._board.members.live() if m.zone in zones]
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -105,6 +105,35 @@
   5: map<string, i64> generations
 }
 
+// Record heir/<vm>/<incarnation>, kept everywhere until it expires (epoch seconds).
+struct Heir {
+  1: string vm
+  2: i64 incarnation
+  3: string heir
+  4: double expires
+}
+
+struct HomeId {
+  1: string vm
+  2: i64 incarnation
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// An idempotency key in the memory of a home that stops.
+struct KeyEntry {
+  1: string key
+  2: string fingerprint
+  3: double expires
+  4: bool ran
+  5: i32 status
+  6: list<Header> headers
+  7: optional binary body
+}
+
 service Peer {
   i64 ping()
   bool reach(1: Endpoint endpoint)
@@ -114,5 +143,6 @@
   // 0 taken, 1 refused, 2 superseded
   i32 hand_over(1: Hold hold, 2: list<UsageLeft> usages)
   void discharge(1: string instance)
+  void inherit(1: list<HomeId> homes, 2: list<KeyEntry> entries)
   bool void_attempt(1: string attempt, 2: i64 remaining_ms, 3: i64 incarnation)
 }
--- a/gypsumwind/homes.py
+++ b/gypsumwind/homes.py
@@ -54,37 +54,53 @@
         prefix = parse_prefix(call.key)
         if prefix is None:
             prefix = self._parts.claims.home_of(call.key)
-        if prefix.vm != self._cfg.vm:
-            return self._forward(prefix, call)
+        vm = self._vm_of(prefix)
+        if vm != self._cfg.vm:
+            return self._forward(vm, call)
         return self.serve_here(call, prefix)
 
-    def _forward(self, prefix: KeyPrefix, call: Call) -> Answer:
-        member = self._parts.board.members.get(prefix.vm)
+    def _vm_of(self, prefix: KeyPrefix) -> str:
+        """Return the VM that stands for a home: the home itself, or its heir."""
+        heir = self._parts.board.heirs.get((prefix.vm, prefix.incarnation))
+        return heir.vm if heir else prefix.vm
+
+    def _forward(self, vm: str, call: Call) -> Answer:
+        member = self._parts.board.members.get(vm)
         if member is None or member.state >= State.DEAD:
-            raise _lost(f"the key's home {prefix.vm} cannot be reached")
+            raise _lost(f"the key's home {vm} cannot be reached")
         self._parts.metrics.event("hop-to-home")
         try:
             return self._parts.handoffs.send(member, call.with_attempt(new_id()), HOP_HOME)
         except RequestError as exc:
             if exc.code in (Code.PEER_UNREACHABLE, Code.ATTEMPT_VOIDED):
-                raise _lost(f"the key's home {prefix.vm} does not answer") from exc
+                raise _lost(f"the key's home {vm} does not answer") from exc
             raise
 
     def serve_here(self, call: Call, prefix: KeyPrefix | None = None) -> Answer:
         """Serve a keyed call as its home."""
         prefix = prefix or parse_prefix(call.key) or self._parts.claims.home_of(call.key)
-        if (prefix.vm, prefix.incarnation) != (self._cfg.vm, self._boot):
+        home = (prefix.vm, prefix.incarnation)
+        if not msg.ask(self._parts.actor, msg.StandsFor(home)):
             raise _lost(f"the key's home {prefix.vm} was restarted since")
         fingerprint = f"{call.service} {call.method} {call.path}"
         message = msg.BeginKey(call.key, fingerprint, prefix.expires)
         begin, outcome = msg.ask(self._parts.actor, message)
         if begin is Begin.RUN:
             return self._run(call, fingerprint)
+        if begin is Begin.MOVED:
+            return self._follow(prefix, call)
         if outcome is not None:
             self._parts.metrics.event("key-replayed")
             return _replay(outcome)
         raise self._refusal(begin)
 
+    def _follow(self, prefix: KeyPrefix, call: Call) -> Answer:
+        """This home is closed: its heir knows the key."""
+        vm = self._vm_of(prefix)
+        if vm == self._cfg.vm:
+            raise _lost("the key's home is stopping")
+        return self._forward(vm, call)
+
     def early_verdict(self, key: str) -> Verdict:
         """Return what may be said of a key that is turned away before its home has seen it.
 
--- /dev/null
+++ b/gypsumwind/legacies.py
@@ -0,0 +1,99 @@
+"""The hand-on of idempotency keys at a planned stop, so that repeats are still answered."""
+
+from collections.abc import Iterator, Sequence
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.actors import heir_key
+from gypsumwind.board import Board
+from gypsumwind.core.idempotency import KeyEntry
+from gypsumwind.core.membership import Member
+from gypsumwind.core.records import GLOBAL_SCOPE
+from gypsumwind.core.rendezvous import named_vm
+from gypsumwind.gossip import GossipTask
+from gypsumwind.log import Log
+from gypsumwind.peers import PeerError, Peers
+from gypsumwind.settings import Settings
+from gypsumwind.utils import wall
+from gypsumwind.wire import pack, thrift
+
+log = Log("legacies")
+
+BATCH_BYTES = 1_000_000
+ENTRY_BYTES = 500
+
+
+class Legacy:
+    """Hands the keys of a stopping home to an heir and tells the fleet who that is."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        board: Board,
+        home: pykka.ActorRef,
+        records: pykka.ActorRef,
+        gossip: GossipTask,
+    ) -> None:
+        self._cfg = cfg
+        self._board = board
+        self._home = home
+        self._records = records
+        self._gossip = gossip
+        self._peers = Peers(cfg.ip, cfg.peer_timeout_s)
+
+    def hand_on(self) -> None:
+        """Close the home, give its keys to an heir, and publish it; keys are lost without one."""
+        legacy: msg.HomeLegacy = msg.ask(self._home, msg.CloseHome())
+        heir = self._heir()
+        if heir is None:
+            log.warning("keys-lost", keys=len(legacy.entries), why="no other VM is reached")
+            return
+        try:
+            self._give(heir, legacy)
+        except PeerError as exc:
+            log.warning("keys-lost", keys=len(legacy.entries), why=exc.message)
+            return
+        self._publish(heir, legacy.homes)
+        log.info("keys-handed-on", keys=len(legacy.entries), to=heir.vm)
+
+    def _heir(self) -> Member | None:
+        live = self._board.members.live
+        members = live(self._cfg.zone) or live()
+        name = named_vm(self._cfg.vm, [member.vm for member in members])
+        return next((m for m in members if m.vm == name), None)
+
+    def _give(self, heir: Member, legacy: msg.HomeLegacy) -> None:
+        """Send the entries in batches; the heir stands for the homes only after the last."""
+        for batch in _batches(legacy.entries):
+            self._peers.inherit(heir.endpoint, (), batch)
+        self._peers.inherit(heir.endpoint, legacy.homes, ())
+
+    def _publish(self, heir: Member, homes: Sequence[msg.HomeId]) -> None:
+        expires = wall() + self._cfg.key_ttl_s
+        for home in homes:
+            payload = pack(thrift.Heir(home[0], home[1], heir.vm, expires))
+            record = msg.PublishRecord(heir_key(home), GLOBAL_SCOPE, payload)
+            msg.ask(self._records, record)
+        for member in self._board.members.live():
+            self._spread_to(member)
+
+    def _spread_to(self, member: Member) -> None:
+        try:
+            self._gossip.sync(member.endpoint)
+        except PeerError:
+            return
+
+
+def _batches(entries: Sequence[KeyEntry]) -> Iterator[list[KeyEntry]]:
+    batch: list[KeyEntry] = []
+    size = 0
+    for entry in entries:
+        body = entry.outcome.body if entry.outcome else None
+        size += ENTRY_BYTES + len(body or b"")
+        batch.append(entry)
+        if size >= BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+    if batch:
+        yield batch
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -8,6 +8,7 @@
 
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
 from gypsumwind.core.health import Result
+from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Ack, Member, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
@@ -277,6 +278,37 @@
     key: str
 
 
+HomeId = tuple[str, int]
+"""A home of keys: a VM's name and the incarnation in the keys' prefix."""
+
+
+@dataclass(slots=True, frozen=True)
+class CloseHome:
+    """To the home actor: begin no more keys; answers with a HomeLegacy."""
+
+
+@dataclass(slots=True, frozen=True)
+class HomeLegacy:
+    """What a home that stops leaves to its heir: the homes it stood for, and their keys."""
+
+    homes: tuple[HomeId, ...]
+    entries: "tuple[KeyEntry[StoredOutcome], ...]"
+
+
+@dataclass(slots=True, frozen=True)
+class InheritKeys:
+    """To the home actor: stand for other homes from now on, with (part of) their keys."""
+
+    legacy: HomeLegacy
+
+
+@dataclass(slots=True, frozen=True)
+class StandsFor:
+    """To the home actor: answer whether this VM is the home of a prefix."""
+
+    home: HomeId
+
+
 @dataclass(slots=True, frozen=True)
 class StoredOutcome:
     """An outcome that is replayed: a whole answer, or (with `body` None) what is known of it."""
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -21,6 +21,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
 from gypsumwind.core.admission import Usage
+from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
@@ -35,6 +36,9 @@
     endpoint_to_wire,
     hold_from_wire,
     hold_to_wire,
+    homes_to_wire,
+    key_entry_to_wire,
+    legacy_from_wire,
     record_from_wire,
     record_to_wire,
     reply_from_wire,
@@ -112,6 +116,13 @@
         """Tell the new owner that a request of ours on an instance has finished."""
         self._call(to, "discharge", instance)
 
+    def inherit(
+        self, to: Endpoint, homes: Sequence[msg.HomeId], entries: Sequence[KeyEntry]
+    ) -> None:
+        """Give keys to an heir; with `homes` it stands for these from now on."""
+        wire = [key_entry_to_wire(entry) for entry in entries]
+        self._call(to, "inherit", homes_to_wire(homes), wire)
+
     def void_attempt(self, to: Endpoint, attempt: str, remaining_ms: int, incarnation: int) -> bool:
         """Void an attempt; True when no copy of it has run or ever will."""
         return bool(self._call(to, "void_attempt", attempt, remaining_ms, incarnation))
@@ -127,7 +138,9 @@
         boot: int,
         records: pykka.ActorRef,
         gate: pykka.ActorRef,
+        home: pykka.ActorRef,
     ) -> None:
+        self._home = home
         self._cfg = cfg
         self._board = board
         self._boot = boot
@@ -189,6 +202,10 @@
         """A previous owner finished one request."""
         self._gate.tell(msg.Discharge(instance))
 
+    def inherit(self, homes: list[Any], entries: list[Any]) -> None:
+        """Take in keys of a home that stops."""
+        msg.ask(self._home, msg.InheritKeys(legacy_from_wire(homes, entries)))
+
     def void_attempt(self, attempt: str, remaining_ms: int, incarnation: int) -> bool:
         """Void an attempt that was sent to this process; another one cannot know of it."""
         if incarnation < self._boot:
--- a/gypsumwind/settings.py
+++ b/gypsumwind/settings.py
@@ -148,6 +148,7 @@
     Setting("entry_ttl_s", _seconds, "2", "s", "time callers may keep a look-up"),
     Setting("key_ttl_s", _seconds, "3600", "s", "time an idempotency key is remembered"),
     Setting("key_capacity", _count, "100000", "keys", "idempotency keys remembered at most"),
+    Setting("key_bytes", _count, "16000000", "bytes", "answers kept for replay, at most"),
     Setting("stop_s", _seconds, "60", "s", "longest wait for requests in flight at a stop"),
     Setting("health_s", _seconds, "1", "s", "period of health and load probes"),
     Setting("health_path", _path, "/health", "path", "health endpoint of upstreams, or empty"),
@@ -191,6 +192,7 @@
     entry_ttl_s: float
     key_ttl_s: float
     key_capacity: int
+    key_bytes: int
     stop_s: float
     health_s: float
     health_path: str
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -1,5 +1,6 @@
 """Thrift messages between daemons and their conversion from and to the core's types."""
 
+from collections.abc import Iterable
 from importlib.resources import files
 from typing import Any
 
@@ -8,9 +9,11 @@
 from thriftpy2.utils import deserialize, serialize
 
 from gypsumwind.core.admission import Headroom
+from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Ack, Endpoint, Member, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, Hold
 from gypsumwind.core.records import Record
+from gypsumwind.messages import HomeId, HomeLegacy, StoredOutcome
 
 thrift: Any = thriftpy2.load(
     str(files("gypsumwind") / "gypsumwind.thrift"), module_name="gypsumwind_thrift"
@@ -132,3 +135,38 @@
 def headroom_from_wire(wire: Any) -> Headroom:
     """Convert a service's headroom back."""
     return Headroom(wire.slots, wire.in_flight, wire.free_high, wire.free, wire.free_lent)
+
+
+def key_entry_to_wire(entry: KeyEntry[StoredOutcome]) -> Any:
+    """Convert a key's entry; one that has not ended may have run."""
+    outcome = entry.outcome or StoredOutcome(entry.fingerprint, 0, (), None, ran=False)
+    return thrift.KeyEntry(
+        entry.key,
+        entry.fingerprint,
+        entry.expires,
+        outcome.ran,
+        outcome.status,
+        [thrift.Header(name, value) for name, value in outcome.headers],
+        outcome.body,
+    )
+
+
+def key_entry_from_wire(wire: Any) -> KeyEntry[StoredOutcome]:
+    """Convert a key's entry back."""
+    headers = tuple((header.name, header.value) for header in wire.headers)
+    body = wire.body.encode() if isinstance(wire.body, str) else wire.body
+    outcome = StoredOutcome(wire.fingerprint, wire.status, headers, body, wire.ran)
+    return KeyEntry(wire.key, wire.fingerprint, wire.expires, outcome)
+
+
+def homes_to_wire(homes: Iterable[HomeId]) -> list[Any]:
+    """Convert homes of keys."""
+    return [thrift.HomeId(vm, incarnation) for vm, incarnation in homes]
+
+
+def legacy_from_wire(homes: Iterable[Any], entries: Iterable[Any]) -> HomeLegacy:
+    """Convert what a home leaves behind back."""
+    return HomeLegacy(
+        tuple((home.vm, home.incarnation) for home in homes),
+        tuple(key_entry_from_wire(entry) for entry in entries),
+    )
