--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -396,12 +396,19 @@
             return
         if message.draining:
             state.health.signal_leaving(now)
-        if self._admission.observe(state, message.result, message.latency_s, now):
+        elsewhere = self._ejected_elsewhere(state.service)
+        if self._admission.observe(state, message.result, message.latency_s, elsewhere, now):
             self._metrics.event("instance-ejected")
             log.warning("instance-ejected", instance=state.instance.name)
         if state.instance.name not in self._ownership.held:
             self._discharge(state.instance.name)
 
+    def _ejected_elsewhere(self, service: str) -> int:
+        members = self._board.members
+        loads = (self._board.vms.get(m.vm) for m in members.live(self._cfg.zone))
+        rooms = (load.headroom.get(service) for load in loads if load is not None)
+        return sum(room.ejected for room in rooms if room is not None)
+
     def _admit_attempt(self, message: msg.AdmitAttempt, now: float) -> bool:
         return self._attempts.admit(message.attempt, message.deadline, now)
 
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -75,13 +75,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Headroom:
-    """Slots of a service on one VM: all, in use, free for class high, for others, and lent."""
+    """Slots of a service on one VM: all, in use, free for class high, for others, and lent.
+
+    `ejected` counts the instances that failures keep out; their slots are not in the others.
+    """
 
     slots: int = 0
     in_flight: int = 0
     free_high: int = 0
     free: int = 0
     free_lent: int = 0
+    ejected: int = 0
+
+    def plus(self, other: "Headroom") -> "Headroom":
+        """Return the sum of two headrooms."""
+        return Headroom(*(getattr(self, n) + getattr(other, n) for n in Headroom.__slots__))
 
 
 class SlotState:
@@ -129,6 +137,18 @@
         self.charges = [c for c in self.charges if c.deadline > now]
         return self.charges
 
+    def headroom(self, now: float) -> Headroom:
+        """Return the headroom of this instance alone."""
+        if self.health.ejected(now):
+            return Headroom(ejected=1)
+        return Headroom(
+            slots=self.limits.at(now).slots,
+            in_flight=self.used(now),
+            free_high=self.free(Priority.HIGH, False, now),
+            free=self.free(Priority.NORMAL, False, now),
+            free_lent=self.free(Priority.NORMAL, True, now),
+        )
+
     def free(self, priority: Priority, foreign: bool, now: float) -> int:
         """Return the slots that a request of this kind could take."""
         if now < self._report_by:
@@ -250,13 +270,22 @@
             return state, self.drain_queue(state.service, now)
         return None, Outcome()
 
-    def observe(self, state: SlotState, result: Result, latency_s: float, now: float) -> bool:
+    def observe(
+        self,
+        state: SlotState,
+        result: Result,
+        latency_s: float,
+        ejected_elsewhere: int,
+        now: float,
+    ) -> bool:
         """Take in how a request ended; True when its instance is ejected by that.
 
-        At most half of a service's owned instances are ejected on their answers alone.
+        At most half of a service's instances in a zone are ejected on their answers alone;
+        `ejected_elsewhere` counts those that other VMs of the zone keep out.
         """
-        siblings = self._owned_states(state.service)
-        out = sum(1 for s in siblings if s.health.ejected(now))
+        place = (state.service, state.instance.zone)
+        siblings = [s for s in self.states.values() if (s.service, s.instance.zone) == place]
+        out = ejected_elsewhere + sum(s.health.ejected(now) for s in siblings)
         may_eject = 2 * (out + 1) <= len(siblings) or result is Result.UNREACHABLE
         return state.health.observe(result, latency_s, now, may_eject)
 
@@ -307,16 +336,10 @@
         result: dict[str, Headroom] = {}
         for name in self._owned:
             state = self.states.get(name)
-            if state is None or not state.health.serving(now):
+            if state is None or state.health.leaving(now):
                 continue
             old = result.get(state.service, Headroom())
-            result[state.service] = Headroom(
-                old.slots + state.limits.at(now).slots,
-                old.in_flight + state.used(now),
-                old.free_high + state.free(Priority.HIGH, False, now),
-                old.free + state.free(Priority.NORMAL, False, now),
-                old.free_lent + state.free(Priority.NORMAL, True, now),
-            )
+            result[state.service] = old.plus(state.headroom(now))
         return result
 
     def _owned_states(self, service: str) -> list[SlotState]:
--- a/gypsumwind/entries.py
+++ b/gypsumwind/entries.py
@@ -42,10 +42,10 @@
 
 
 def _owns(cfg: Settings, board: Board, service: str, vm: str) -> bool:
-    if vm == cfg.vm:
-        return service in board.holds.headroom
     load = board.vms.get(vm)
-    return load is not None and service in load.headroom
+    rooms = board.holds.headroom if vm == cfg.vm else (load.headroom if load else {})
+    room = rooms.get(service)
+    return room is not None and room.slots > 0
 
 
 def _entry(cfg: Settings, board: Board, home: Home, member: Member) -> dict:
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -78,7 +78,7 @@
     def _choose_owner(self, call: Call, tried: set[str]) -> str | None:
         """Return this VM while it has room, else the owner with the most, else any owner."""
         loads = [load for load in self._loads() if load.vm not in tried]
-        owners = [load for load in loads if call.service in load.headroom]
+        owners = [load for load in loads if _serves(load, call.service)]
         if not owners:
             return None
         room = {load.vm: self._room(load, call) for load in owners}
@@ -193,6 +193,11 @@
         self._gate.tell(msg.FinishPermit(permit.attempt, result, latency_s, draining))
 
 
+def _serves(load: VmLoad, service: str) -> bool:
+    room = load.headroom.get(service)
+    return room is not None and room.slots > 0
+
+
 def _target(permit: Granted) -> Target:
     ip, port = split_address(permit.address)
     return Target(ip, port, Code.UPSTREAM_UNREACHABLE, Code.UPSTREAM_FAILED)
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -47,14 +47,7 @@
     total: dict[str, Headroom] = {}
     for load in loads:
         for service, room in load.headroom.items():
-            old = total.get(service, Headroom())
-            total[service] = Headroom(
-                old.slots + room.slots,
-                old.in_flight + room.in_flight,
-                old.free_high + room.free_high,
-                old.free + room.free,
-                old.free_lent + room.free_lent,
-            )
+            total[service] = total.get(service, Headroom()).plus(room)
     return total
 
 
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -77,6 +77,7 @@
   3: i32 free_high
   4: i32 free
   5: i32 free_lent
+  6: i32 ejected
 }
 
 struct HoldLoad {
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -129,12 +129,12 @@
 
 def headroom_to_wire(room: Headroom) -> Any:
     """Convert a service's headroom."""
-    return thrift.Headroom(room.slots, room.in_flight, room.free_high, room.free, room.free_lent)
+    return thrift.Headroom(**{name: getattr(room, name) for name in Headroom.__slots__})
 
 
 def headroom_from_wire(wire: Any) -> Headroom:
     """Convert a service's headroom back."""
-    return Headroom(wire.slots, wire.in_flight, wire.free_high, wire.free, wire.free_lent)
+    return Headroom(**{name: getattr(wire, name) for name in Headroom.__slots__})
 
 
 def key_entry_to_wire(entry: KeyEntry[StoredOutcome]) -> Any:
