--- a/gypsumwind/core/buckets.py
+++ b/gypsumwind/core/buckets.py
@@ -34,6 +34,11 @@
         self._tokens = self._burst
         self._at = now
 
+    @property
+    def rate(self) -> float:
+        """Return the rate in bytes a second."""
+        return self._rate
+
     def set_rate(self, rate: float, now: float, burst_s: float = 0.1) -> None:
         """Change the rate, in bytes a second; what was earned before stays earned."""
         self._refill(now)
@@ -43,14 +48,17 @@
 
     def reserve(self, size: int, deadline: float, now: float) -> float | None:
         """Reserve `size` bytes; return the seconds to wait, None if that passes the deadline."""
-        self._refill(now)
-        after = self._tokens - size
-        wait_s = max(0.0, -after / self._rate)
+        wait_s = self.wait_s(size, now)
         if now + wait_s >= deadline:
             return None
-        self._tokens = after
+        self._tokens -= size
         return wait_s
 
+    def wait_s(self, size: int, now: float) -> float:
+        """Return the seconds that `size` bytes would have to wait now."""
+        self._refill(now)
+        return max(0.0, (size - self._tokens) / self._rate)
+
     def _refill(self, now: float) -> None:
         earned = max(0.0, now - self._at) * self._rate
         self._tokens = min(self._burst, self._tokens + earned)
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -179,14 +179,22 @@
 
     def _start_servers(self) -> None:
         cfg, board, rng = self._cfg, self._board, self._rng
-        handoffs = Handoffs(cfg, self._metrics)
+        handoffs = Handoffs(cfg, board, self._metrics)
         gate = Gate(cfg, board, self._gate, handoffs, self._metrics, rng)
         origin = Origin(cfg, board, gate, handoffs, self._metrics, rng)
         claims = KeyClaims(cfg, self._boot, self._store, rng)
         home_parts = HomeParts(board, self._home, origin, handoffs, claims, self._metrics)
         home = Home(cfg, self._boot, home_parts, rng)
         parts = Parts(
-            board, self._gate, gate, origin, home, self._metrics, self._hangups, self._ready
+            board,
+            self._gate,
+            gate,
+            origin,
+            home,
+            self._metrics,
+            self._hangups,
+            handoffs.links,
+            self._ready,
         )
         self._callers = CallerPages(cfg, parts, rng)
         self._handoffs = HandoffPages(cfg, parts, rng)
--- a/gypsumwind/handoffs.py
+++ b/gypsumwind/handoffs.py
@@ -1,9 +1,11 @@
 """Hand-off of a call to another VM, and voiding of an attempt that was lost on the way."""
 
+from gypsumwind.board import Board
 from gypsumwind.calls import H_CODE, H_VERDICT, Answer, Call
 from gypsumwind.core.membership import Member
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
+from gypsumwind.links import LinkBudgets
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
 from gypsumwind.peers import PeerError, Peers
@@ -21,7 +23,9 @@
 class Handoffs:
     """Sends calls to other VMs; what comes back is an answer or an honest verdict."""
 
-    def __init__(self, cfg: Settings, metrics: Metrics) -> None:
+    def __init__(self, cfg: Settings, board: Board, metrics: Metrics) -> None:
+        self._board = board
+        self.links = LinkBudgets(cfg, board)
         self._sender = Sender(cfg.ip, cfg.connect_timeout_s)
         self._peers = Peers(cfg.ip, cfg.peer_timeout_s)
         self._metrics = metrics
@@ -30,6 +34,8 @@
         """Send a call under its attempt id; on a lost answer ask the peer to void it."""
         endpoint = to.endpoint
         target = Target(endpoint.ip, endpoint.handoff_port, Code.PEER_UNREACHABLE, Code.PEER_FAILED)
+        region = self._board.places.region_of(to.zone)
+        self.links.check(region, call.body.length or 0, call.deadline)
         out = Outgoing(
             method=call.method,
             path=f"/{call.service}{call.path}",
@@ -37,6 +43,7 @@
             body=call.body,
             deadline=call.deadline,
             repeatable=True,
+            pace=lambda chunks: self.links.paced(region, chunks, call.deadline),
         )
         try:
             answer = self._sender.send(target, out)
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -31,6 +31,7 @@
 from gypsumwind.handoffs import HOP_GATE, HOP_HOME, HOP_OWNER
 from gypsumwind.hangups import HangupTask
 from gypsumwind.homes import Home
+from gypsumwind.links import LinkBudgets
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics, histogram_rows, prometheus_text
 from gypsumwind.origins import Origin
@@ -59,6 +60,7 @@
     home: Home
     metrics: Metrics
     hangups: HangupTask
+    links: LinkBudgets
     ready: Callable[[], bool]
 
 
@@ -279,11 +281,14 @@
             raise RequestError(Code.ATTEMPT_VOIDED, text, Verdict.NOT_RUN, 409)
         try:
             call.body.keep_small()
-            return self._hop(ex.headers.get(H_HOP, ""), call)
+            answer = self._hop(ex.headers.get(H_HOP, ""), call)
         except RequestError as exc:
             if exc.verdict is Verdict.NOT_RUN:
                 self._parts.gate_actor.tell(msg.RefuseAttempt(call.attempt))
             raise
+        links = self._parts.links
+        answer.chunks = links.paced(call.origin_region, answer.chunks, call.deadline)
+        return answer
 
     def _hop(self, hop: str, call: Call) -> Answer:
         if hop == HOP_OWNER:
--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Outgoing:
-    """A request to send; `repeatable` ones may use a kept connection."""
+    """A request to send; `repeatable` ones may use a kept connection, `pace` slows the body."""
 
     method: str
     path: str
@@ -48,6 +48,12 @@
     body: Body
     deadline: float
     repeatable: bool
+    pace: Callable[[Iterator[bytes]], Iterator[bytes]] | None = None
+
+    def chunks(self) -> Iterator[bytes]:
+        """Return the body at the pace that is set."""
+        chunks = self.body.chunks()
+        return self.pace(chunks) if self.pace else chunks
 
 
 class TrackedPool(urllib3.HTTPConnectionPool):
@@ -84,7 +90,7 @@
             response = pool.urlopen(
                 out.method,
                 out.path,
-                body=out.body.chunks() if has_body else None,
+                body=out.chunks() if has_body else None,
                 headers=headers,
                 retries=False,
                 redirect=False,
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -3,7 +3,9 @@
 import json
 import sys
 import threading
+import time
 from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 from traceback import format_tb
 from types import TracebackType
@@ -29,6 +31,7 @@
 MAX_KEPT_CONNECTIONS = 4096
 SOCKET_TIMEOUT_S = 30
 SMALL_REST_BYTES = 65536
+LINGER_S = 2.0
 CONTROL_THREADS = 8
 
 
@@ -93,7 +96,7 @@
 
     def send_error(self, exc: RequestError, vm: str) -> None:
         """Answer with an error: code, verdict, and when to come back."""
-        self._skip_body()
+        rest = self._skip_body()
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
         headers = [
@@ -106,15 +109,27 @@
             headers.append(("Retry-After", str(max(1, round(exc.retry_after_s)))))
         self._start(exc.status, headers, len(data))
         self._req.write(data)
+        if rest:
+            self._linger()
 
-    def _skip_body(self) -> None:
-        """Read a small rest of the body; with a large one the connection is closed instead."""
+    def _skip_body(self) -> bool:
+        """Read a small rest of the body; tell whether a large one is left on the connection."""
         remaining = getattr(self._req.rfile, "remaining", None)
         if remaining is None or remaining > SMALL_REST_BYTES:
             self._req.close_connection = self.body.length != 0
-            return
+            return self._req.close_connection
         if remaining:
             self._req.rfile.read(remaining)
+        return False
+
+    def _linger(self) -> None:
+        """Read on for a while after the answer: a reset would take the answer along."""
+        until = time.monotonic() + LINGER_S
+        with suppress(Exception):
+            self._req.conn.wfile.flush()
+            self.socket.settimeout(LINGER_S)
+            while time.monotonic() < until and self._req.rfile.read(SMALL_REST_BYTES):
+                continue
 
     def _start(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
         req = self._req
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -115,3 +115,12 @@
     with Load(fleet, "lookup", "/v?ms=5", callers=2) as sent:
         until(lambda: len(sent.replies) > 50)
     assert {r.verdict for r in sent.replies} == {"answered"}
+
+
+def test_refusal_of_a_large_upload_reaches_the_caller(fleet):
+    """The answer goes out at once, and a reset does not take it along."""
+    caller = fleet.caller("accra-a")
+    url = caller.lookup("lookup")["entries"][0]["url"]
+    for _ in range(20):
+        reply = caller.send("nothing", "/x", "POST", b"x" * 5_000_000, url=url)
+        assert (reply.status, reply.verdict) == (404, "not-run"), reply
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import threading
+import time
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -33,6 +34,15 @@
         self.connections = set()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._servers = []
+        self.sent = []
+
+    def bytes_between(self, sources, targets, start, end):
+        """Return the bytes sent over TCP from some IPs to others in a time."""
+        return sum(
+            size
+            for at, src, dst, size in list(self.sent)
+            if start <= at < end and src in sources and dst in targets
+        )
 
     def __enter__(self):
         self._thread.start()
@@ -148,6 +158,7 @@
                 with suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
+            self.proxy.sent.append((time.monotonic(), src, dst, len(data)))
             writer.write(data)
             await writer.drain()
 
