--- a/gypsumwind/core/edits.py
+++ b/gypsumwind/core/edits.py
@@ -137,12 +137,16 @@
 
 
 def diff_cells(table: ServiceTable, wanted: dict[str, dict[str, CellValue]]) -> list[CellEdit]:
-    """Return the edits that bring the cells of the named rows to the wanted values."""
+    """Return the edits that bring the cells of the named rows to the wanted values.
+
+    A cell that a row lacks has its column's default; a new row gets all its cells.
+    """
     edits = []
     for region, row in wanted.items():
         for column, value in row.items():
             seen = cell_value(table, region, column)
-            if seen != value:
+            default = COLUMN_BY_NAME[column].default
+            if region not in table.cells or _or(seen, default) != value:
                 edits.append(CellEdit(region, column, seen, value))
     return sorted(edits, key=lambda e: (e.column != "shift_cap", e.region, e.column))
 
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -35,7 +35,7 @@
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics, histogram_rows, prometheus_text
 from gypsumwind.origins import Origin
-from gypsumwind.servers import CONTROL_THREADS, Exchange, InFlight
+from gypsumwind.servers import CONTROL_THREADS, Exchange, InFlight, internal_error
 from gypsumwind.settings import Settings
 from gypsumwind.statuses import status_page
 from gypsumwind.utils import jittered, monotonic, wall
@@ -165,6 +165,12 @@
             return self._serve_watched(ex, service, path)
         except RequestError as exc:
             return self._send_error(ex, exc)
+        except OSError:
+            raise
+        except Exception as exc:
+            if ex.started:
+                raise
+            return self._send_error(ex, internal_error(exc))
         finally:
             self.in_flight.leave()
 
@@ -266,6 +272,12 @@
                 ex.send_answer(answer, self._cfg.vm, self._parts.board.leaving)
         except RequestError as exc:
             ex.send_error(exc, self._cfg.vm)
+        except OSError:
+            raise
+        except Exception as exc:
+            if ex.started:
+                raise
+            ex.send_error(internal_error(exc), self._cfg.vm)
         finally:
             self.in_flight.leave()
 
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -22,7 +22,8 @@
     Answer,
     Body,
 )
-from gypsumwind.errors import RequestError
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
 from gypsumwind.log import Log
 
 log = Log("servers")
@@ -38,10 +39,11 @@
 class Exchange:
     """One HTTP request with the means to answer it."""
 
-    __slots__ = ("method", "path", "query", "headers", "body", "target", "_req")
+    __slots__ = ("method", "path", "query", "headers", "body", "target", "started", "_req")
 
     def __init__(self, req: Any) -> None:
         self._req = req
+        self.started = False
         self.method = req.method.decode("ascii", "replace")
         self.target = req.uri.decode("latin-1")
         self.path, _, query = self.target.partition("?")
@@ -133,6 +135,7 @@
 
     def _start(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
         req = self._req
+        self.started = True
         req.status = _status_line(status)
         pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
         if length is not None:
@@ -150,6 +153,13 @@
     return f"{status} {phrase}".encode("ascii")
 
 
+def internal_error(exc: Exception) -> RequestError:
+    """Return the error that a caller gets for a fault of the program, which is logged."""
+    where = "".join(format_tb(exc.__traceback__)[-2:])
+    log.error("request-failed", error=f"{type(exc).__name__}: {exc}", where=where)
+    return RequestError(Code.INTERNAL, "a fault of the program", Verdict.MAY_HAVE_RUN, 500)
+
+
 Handler = Callable[[Exchange], None]
 
 
@@ -159,10 +169,8 @@
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log faults of the program; connections that are cut are no fault of it."""
         fault = sys.exc_info()[1]
-        if fault is None or isinstance(fault, (OSError, RequestError)):
-            return
-        where = "".join(format_tb(fault.__traceback__)[-2:])
-        log.error("request-failed", error=f"{type(fault).__name__}: {fault}", where=where)
+        if isinstance(fault, Exception) and not isinstance(fault, OSError):
+            internal_error(fault)
 
 
 class Server:
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -27,7 +27,11 @@
         self.watching = 0
 
     def set_mode(self, mode):
-        """Set ok, down (503), hang, or lose (writes take effect, answers are cut)."""
+        """Set ok, down (503), hang, lose or lose-all.
+
+        With lose, writes take effect and their answers are cut; with lose-all the store is
+        down after that.
+        """
         with self.changed:
             self.mode = mode
             self.changed.notify_all()
@@ -104,12 +108,14 @@
         store = self.server.standin
         store.writes += 1
         value = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-        if store.mode != "lose" and not self._available():
+        if not store.mode.startswith("lose") and not self._available():
             return
         key = unquote(self.path[len(OBJECTS) + 1 :])
         match = self.headers.get("If-Match")
         obj = store.put(key, value, int(match.strip('"')) if match else None)
-        if store.mode == "lose":
+        if store.mode.startswith("lose"):
+            if store.mode == "lose-all":
+                store.set_mode("down")
             self.close_connection = True
             return
         self._json(200 if obj else 412, obj or {"error": "version differs"})
