VMs and zones say by one hash whether they have the same tables

Cause: each VM published the generation of every service twice a second, each zone the same for all the fleet: at 2,000 services some 40 KB a record, far above 26 KB/s. Change: one 63-bit hash over the tables in force; a zone is up to date when all its VMs have the hash of the VM that is asked. What control takes is counted in bytes (gypsumwind_control_bytes). A zone's last VM speaks for it also while it leaves.

--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -28,12 +28,13 @@
 from gypsumwind.core.idempotency import KeyTable
 from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.core.ownership import ClaimReply, HandoverReply, Hold, Ownership
-from gypsumwind.core.records import Record, Records
+from gypsumwind.core.records import GLOBAL_SCOPE, Record, Records
 from gypsumwind.core.table import places_from_json, table_from_json
 from gypsumwind.errors import TableError
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
 from gypsumwind.settings import Settings
+from gypsumwind.traffic import control
 from gypsumwind.utils import monotonic, split_address, wall
 from gypsumwind.wire import datagram_to_bytes, headroom_from_wire, thrift, unpack
 
@@ -77,6 +78,7 @@
     def _send(self, envelopes: list[Envelope]) -> None:
         for envelope in envelopes:
             data = datagram_to_bytes(envelope.message)
+            control.add(len(data))
             try:
                 self._sock.sendto(data, (envelope.ip, envelope.port))
             except OSError as exc:
@@ -140,7 +142,9 @@
 
     def _put(self, records: tuple[Record, ...]) -> list[Record]:
         kept = [r for r in records if self._readable(r) and self._records.put(r)]
-        tables = [r for r in kept if r.key.startswith(TABLE_PREFIX) or r.key == PLACES_KEY]
+        tables = [r for r in kept if is_config(r.key)]
+        if tables:
+            self._board.tables_hash = self._records.digest(GLOBAL_SCOPE, is_config)
         for record in kept:
             self._publish(record)
         if tables:
@@ -190,6 +194,11 @@
             self._gate.tell(msg.SyncLeaving(frozenset(value)))
 
 
+def is_config(key: str) -> bool:
+    """Tell whether a record is a table or the places."""
+    return key.startswith(TABLE_PREFIX) or key == PLACES_KEY
+
+
 def heir_key(home: msg.HomeId) -> str:
     """Return the key of the record that says who inherited a home's keys."""
     return f"{HEIR_PREFIX}{home[0]}/{home[1]}"
@@ -219,14 +228,14 @@
         (Hold(h.instance, wire.vm, h.epoch), h.in_flight, h.latest_deadline) for h in wire.holds
     )
     headroom = {service: headroom_from_wire(room) for service, room in wire.headroom.items()}
-    return VmLoad(wire.vm, wire.incarnation, wire.leaving, holds, headroom, wire.generations)
+    return VmLoad(wire.vm, wire.incarnation, wire.leaving, holds, headroom, wire.tables_hash)
 
 
 def zone_load_from_bytes(payload: bytes) -> ZoneLoad:
     """Read the payload of a zone/ record."""
     wire = unpack(thrift.ZoneDigest, payload)
     headroom = {service: headroom_from_wire(room) for service, room in wire.headroom.items()}
-    return ZoneLoad(wire.zone, wire.at, wire.vms, headroom, wire.generations)
+    return ZoneLoad(wire.zone, wire.at, wire.vms, headroom, wire.tables_hash)
 
 
 def heir_from_bytes(payload: bytes) -> Heir:
--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -50,18 +50,21 @@
     leaving: bool
     holds: tuple[tuple[Hold, int, float], ...]
     headroom: Mapping[str, Headroom]
-    generations: Mapping[str, int]
+    tables_hash: int
 
 
 @dataclass(slots=True, frozen=True)
 class ZoneLoad:
-    """What a zone last published: time in epoch seconds, VMs, headroom, table generations."""
+    """What a zone last published: time in epoch seconds, VMs, headroom.
+
+    `tables_hash` is that of all its VMs, 0 while they differ.
+    """
 
     zone: str
     at: float
     vms: int
     headroom: Mapping[str, Headroom]
-    generations: Mapping[str, int]
+    tables_hash: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,6 +93,7 @@
     __slots__ = (
         "members",
         "tables",
+        "tables_hash",
         "places",
         "vms",
         "zones",
@@ -102,6 +106,7 @@
     def __init__(self, me: Member) -> None:
         self.members = MembersView(me, {}, {})
         self.tables: Mapping[str, ServiceTable] = {}
+        self.tables_hash = 0
         self.places = Places()
         self.vms: Mapping[str, VmLoad] = {}
         self.zones: Mapping[str, ZoneLoad] = {}
--- a/gypsumwind/core/records.py
+++ b/gypsumwind/core/records.py
@@ -4,7 +4,7 @@
 one hash a scope first and exchange versions only where the hashes differ.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -56,11 +56,11 @@
         """Forget a record."""
         self._records.pop(key, None)
 
-    def digest(self, scope: str) -> int:
-        """Return a hash over keys and versions of one scope, as a signed 63-bit number."""
+    def digest(self, scope: str, wanted: Callable[[str], bool] = lambda key: True) -> int:
+        """Return a hash over the wanted keys and versions of one scope, a 63-bit number."""
         total = 0
         for record in self._records.values():
-            if record.scope == scope:
+            if record.scope == scope and wanted(record.key):
                 total ^= xxhash.xxh64_intdigest(f"{record.key}\x00{record.version}".encode())
         return total >> 1
 
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -89,7 +89,7 @@
     def _loads(self) -> list[VmLoad]:
         """Return the loads of the zone's VMs, this VM's as of now."""
         others = [m for m in live_loads(self._board, self._cfg.zone) if m.vm != self._cfg.vm]
-        own = VmLoad(self._cfg.vm, 0, False, (), self._board.holds.headroom, {})
+        own = VmLoad(self._cfg.vm, 0, False, (), self._board.holds.headroom, 0)
         return [*others, own]
 
     def _room(self, load: VmLoad, call: Call) -> int:
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -16,7 +16,7 @@
 from gypsumwind.peers import PeerError, Peers
 from gypsumwind.settings import Settings
 from gypsumwind.tasks import Task
-from gypsumwind.utils import wall
+from gypsumwind.utils import monotonic, wall
 from gypsumwind.wire import headroom_to_wire, pack, thrift
 
 log = Log("gossip")
@@ -32,8 +32,9 @@
 
 
 def is_delegate(board: Board, zone: str) -> bool:
-    """Tell whether this VM is a delegate of its zone."""
-    return board.members.me.vm in delegates(zone, zone_vms(board, zone))
+    """Tell whether this VM is a delegate of its zone; its last one is, even while it leaves."""
+    vm = board.members.me.vm
+    return vm in delegates(zone, zone_vms(board, zone) or [vm])
 
 
 def live_loads(board: Board, zone: str) -> list[VmLoad]:
@@ -51,10 +52,10 @@
     return total
 
 
-def least_generations(loads: list[VmLoad]) -> dict[str, int]:
-    """Return for each service the generation that is in force at every VM of the zone."""
-    names = {service for load in loads for service in load.generations}
-    return {name: min(load.generations.get(name, 0) for load in loads) for name in names}
+def common_hash(loads: list[VmLoad]) -> int:
+    """Return the hash of the tables that is in force at every VM, 0 while they differ."""
+    hashes = {load.tables_hash for load in loads}
+    return hashes.pop() if len(hashes) == 1 else 0
 
 
 class GossipTask(Task):
@@ -75,12 +76,14 @@
         self._records = records
         self._peers = Peers(cfg.ip, cfg.peer_timeout_s)
         self._rng = rng
+        self._zone_due = 0.0
 
     def step(self) -> None:
         """Publish, then exchange with a peer of the zone and, as a delegate, one outside."""
         self._publish_vm()
         speaks = is_delegate(self._board, self._cfg.zone)
-        if speaks:
+        if speaks and monotonic() >= self._zone_due:
+            self._zone_due = monotonic() + self._cfg.zone_digest_s
             self._publish_zone()
         for member in self._partners(speaks):
             self._try_sync(member)
@@ -122,17 +125,16 @@
             for name, epoch in board.holds.held.items()
         ]
         room = {s: headroom_to_wire(h) for s, h in board.holds.headroom.items()}
-        generations = {name: table.generation for name, table in board.tables.items()}
-        digest = thrift.VmDigest(self._cfg.vm, self._boot, board.leaving, holds, room, generations)
+        digest = thrift.VmDigest(
+            self._cfg.vm, self._boot, board.leaving, holds, room, board.tables_hash
+        )
         key = VM_PREFIX + self._cfg.vm
         msg.ask(self._records, msg.PublishRecord(key, self._cfg.zone, pack(digest)))
 
     def _publish_zone(self) -> None:
         loads = live_loads(self._board, self._cfg.zone)
         room = {s: headroom_to_wire(h) for s, h in sum_headroom(loads).items()}
-        digest = thrift.ZoneDigest(
-            self._cfg.zone, wall(), len(loads), room, least_generations(loads)
-        )
+        digest = thrift.ZoneDigest(self._cfg.zone, wall(), len(loads), room, common_hash(loads))
         key = ZONE_PREFIX + self._cfg.zone
         msg.ask(self._records, msg.PublishRecord(key, GLOBAL_SCOPE, pack(digest)))
 
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -94,7 +94,8 @@
   3: bool leaving
   4: list<HoldLoad> holds
   5: map<string, Headroom> headroom
-  6: map<string, i64> generations
+  // hash over all tables and the places that are in force at the VM
+  6: i64 tables_hash
 }
 
 // Record zone/<zone>, kept everywhere.
@@ -103,7 +104,8 @@
   2: double at
   3: i32 vms
   4: map<string, Headroom> headroom
-  5: map<string, i64> generations
+  // the hash that all VMs of the zone have, 0 while they differ
+  5: i64 tables_hash
 }
 
 // Record heir/<vm>/<incarnation>, kept everywhere until it expires (epoch seconds).
--- a/gypsumwind/metrics.py
+++ b/gypsumwind/metrics.py
@@ -1,10 +1,13 @@
 """Counters and histograms per service, tenant and class, by OpenTelemetry."""
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from gypsumwind.traffic import control
+
 OTHER_TENANT = "other"
 LATENCY_BUCKETS_S = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0,
@@ -24,6 +27,11 @@
         self._requests = meter.create_counter("gypsumwind_requests", description="requests ended")
         self._seconds = meter.create_histogram("gypsumwind_request_seconds", unit="s")
         self._events = meter.create_counter("gypsumwind_events", description="events by name")
+        meter.create_observable_counter(
+            "gypsumwind_control_bytes",
+            callbacks=[lambda options: [Observation(control.total)]],
+            description="bytes sent and received between daemons for control",
+        )
         self._max_tenants = max_tenants
         self._tenants: set[str] = set()
 
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -14,8 +14,6 @@
 from thriftpy2.transport import (
     TFramedTransport,
     TFramedTransportFactory,
-    TServerSocket,
-    TSocket,
 )
 
 from gypsumwind import messages as msg
@@ -27,6 +25,7 @@
 from gypsumwind.core.records import Record
 from gypsumwind.errors import Code, GypsumwindError
 from gypsumwind.settings import Settings
+from gypsumwind.traffic import CountedServerSocket, CountedSocket, control
 from gypsumwind.utils import monotonic
 from gypsumwind.wire import (
     claim_from_wire,
@@ -71,7 +70,7 @@
         except OSError as exc:
             raise PeerError(f"{to.ip}:{to.peer_port}: {exc}") from exc
         with sock:
-            transport = TFramedTransport(TSocket(sock=sock))
+            transport = TFramedTransport(CountedSocket(sock=sock))
             client = TClient(thrift.Peer, TBinaryProtocol(transport))
             try:
                 return getattr(client, method)(*args)
@@ -218,7 +217,7 @@
     """The Thrift server of a daemon."""
 
     def __init__(self, ip: str, port: int, service: PeerService) -> None:
-        trans = TServerSocket(ip, port, client_timeout=int(msg.ASK_TIMEOUT_S * 1000))
+        trans = CountedServerSocket(ip, port, client_timeout=int(msg.ASK_TIMEOUT_S * 1000))
         self._server = TThreadedServer(
             TProcessor(thrift.Peer, service),
             trans,
@@ -255,6 +254,7 @@
                 data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
                 return
+            control.add(len(data))
             self._pass_on(data)
 
     def _pass_on(self, data: bytes) -> None:
--- a/gypsumwind/settings.py
+++ b/gypsumwind/settings.py
@@ -136,6 +136,7 @@
     Setting("takeover_margin_s", _seconds, "1", "s", "silence beyond fence_s before takeover"),
     Setting("settle_s", _seconds, "2", "s", "wait before a raised limit applies"),
     Setting("gossip_s", _seconds, "0.5", "s", "period of the exchange of records"),
+    Setting("zone_digest_s", _seconds, "0.5", "s", "period of what a zone tells the others"),
     Setting("probe_s", _seconds, "0.5", "s", "period of membership probes"),
     Setting("probe_ack_s", _seconds, "0.4", "s", "wait for an acknowledgement"),
     Setting("suspect_s", _seconds, "1.5", "s", "time a suspect has to refute"),
@@ -180,6 +181,7 @@
     takeover_margin_s: float
     settle_s: float
     gossip_s: float
+    zone_digest_s: float
     probe_s: float
     probe_ack_s: float
     suspect_s: float
--- a/gypsumwind/statuses.py
+++ b/gypsumwind/statuses.py
@@ -5,13 +5,16 @@
 
 from gypsumwind.board import Board
 from gypsumwind.core.admission import Headroom
-from gypsumwind.gossip import least_generations, live_loads, sum_headroom
+from gypsumwind.gossip import common_hash, live_loads, sum_headroom
 from gypsumwind.settings import Settings
 from gypsumwind.utils import wall
 
 
 def status_page(cfg: Settings, board: Board) -> dict[str, Any]:
-    """Return what this VM knows of the fleet."""
+    """Return what this VM knows of the fleet.
+
+    A zone is up to date when all its VMs have the very tables that are in force here.
+    """
     zones = {zone: _zone(cfg, board, zone) for zone in sorted(board.places.zones)}
     zones.setdefault(cfg.zone, _own_zone(cfg, board))
     return {
@@ -47,11 +50,11 @@
         return _own_zone(cfg, board)
     load = board.zones.get(zone)
     if load is None:
-        return {"vms": 0, "age_s": None, "tables": {}, "headroom": {}}
+        return {"vms": 0, "age_s": None, "up_to_date": False, "headroom": {}}
     return {
         "vms": load.vms,
         "age_s": round(max(0.0, wall() - load.at), 3),
-        "tables": dict(sorted(load.generations.items())),
+        "up_to_date": load.tables_hash == board.tables_hash,
         "headroom": _rooms(load.headroom),
     }
 
@@ -61,7 +64,7 @@
     return {
         "vms": len(loads),
         "age_s": 0.0,
-        "tables": dict(sorted(least_generations(loads).items())),
+        "up_to_date": common_hash(loads) == board.tables_hash,
         "headroom": _rooms(sum_headroom(loads)),
     }
 
--- a/gypsumwind/tools/reports.py
+++ b/gypsumwind/tools/reports.py
@@ -9,14 +9,15 @@
 def in_force(status: Mapping[str, Any], wanted: Mapping[str, int]) -> dict[str, dict[str, Any]]:
     """Return for each zone whether the wanted generations are in force at all its VMs.
 
-    A zone without VMs has nothing in force and is waited for by no one, so it is left out.
+    That is so when the entry VM has them and the zone has the same tables as the entry VM. A
+    zone without VMs has nothing in force and is waited for by no one, so it is left out.
     """
+    here = all(status["tables"].get(s, 0) >= generation for s, generation in wanted.items())
     zones = {}
     for name, zone in status["zones"].items():
         if not zone["vms"]:
             continue
-        done = all(zone["tables"].get(s, 0) >= generation for s, generation in wanted.items())
-        zones[name] = {"in_force": done, "age_s": zone["age_s"]}
+        zones[name] = {"in_force": here and zone["up_to_date"], "age_s": zone["age_s"]}
     return zones
 
 
@@ -50,11 +51,11 @@
             "vms": zone["vms"],
             "age_s": zone["age_s"],
             "service": service,
-            "generation": zone["tables"].get(service),
+            "up_to_date": zone["up_to_date"],
             **room,
         }
         for name, zone in page["zones"].items()
         for service, room in (zone["headroom"] or {"-": {}}).items()
     ]
-    names = ("zone", "vms", "age_s", "service", "generation", "slots", "in_flight", "free")
+    names = ("zone", "vms", "age_s", "up_to_date", "service", "slots", "in_flight", "free")
     print_rows([{name: row.get(name) for name in names} for row in rows])
