What control takes stays flat in the size of a zone; hand-overs account for what ends meanwhile

Cause 2 (read): a request that ended while its hold was on its way counted at the new owner until its deadline; a discharge took away whichever charge came first, a foreign one for a local request, which could let one too many foreign requests in. Ruled out for 1: smaller digests alone (a factor of two at most). Change: the period grows with the zone's VMs (0.05 s each); configuration, zones and VMs are scopes of their own, so that the table's versions are compared only after a change of it; new tables are pushed to six peers. What ends during a hand-over is discharged after it, by kind. A slot is found by its attempt, not by a scan.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,12 @@
 	$(PY) -m pytest -q -p tests.known_red -n 2 --dist loadfile
 
 lint: setup
-	$(VENV)/bin/black --check -q gypsumwind tests
-	$(VENV)/bin/ruff check -q gypsumwind tests
+	$(VENV)/bin/black --check -q gypsumwind tests bench
+	$(VENV)/bin/ruff check -q gypsumwind tests bench
 	$(VENV)/bin/mypy gypsumwind
 
+measure: setup
+	$(PY) -m bench.measure
+
 demo: setup
 	$(PY) -m tests.standins.demo
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,361 @@
+"""The users' measures: latency, headroom and drain time, under load and faults.
+
+`make measure` runs the deployment of Adjei, scaled to one machine, with each choice among
+instances, and that of Cofre with the default; it prints a table and writes out/measure.json and
+two plots. Arrivals are open-loop and latency counts from the time a request was due.
+"""
+
+import argparse
+import json
+import random
+import statistics
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tests.standins.fleet import ROOT, Fleet, Service, until
+
+OUT = ROOT / "out"
+CLASSES = ("high", "normal", "normal", "low")
+SERVICE_MS = 60
+SLOW_MS = 400
+DEADLINE_MS = 3000
+SECONDS = 3.0
+STEADY = 0.5
+ZONE_DELAY_S = 0.004
+
+
+@dataclass
+class Shape:
+    """A deployment scaled to one machine: one VM a zone, instances and slots a zone."""
+
+    name: str
+    regions: tuple
+    region_delay_s: float
+    instances: int
+    slots: int
+    limit: int
+    reserve: int
+
+    def fleet(self, choice, ablated=False):
+        """Return its fleet; the proxy delays what the VMs send each other."""
+        zones = {f"{r}-{z}": (r, 1) for r in self.regions for z in "ab"}
+        cells = {
+            "limit": self.limit,
+            "reserve": self.reserve,
+            "local_bias": 8.0,
+            "not_run_statuses": "503",
+        }
+        service = Service("lookup", self.instances, self.slots, cells)
+        fleet = Fleet(zones, [service], {"choice": choice}, ablate="no_owner" if ablated else "")
+        return fleet
+
+    @property
+    def capacity(self):
+        """Return the requests a second that all slots can serve."""
+        slots = len(self.regions) * 2 * self.instances * self.slots
+        return slots * 1000 / SERVICE_MS
+
+
+ADJEI = Shape("adjei", ("accra", "kumasi", "takoradi"), 0.055, 2, 4, 6, 2)
+COFRE = Shape("cofre", ("recife", "fortaleza", "salvador"), 0.035, 2, 3, 4, 2)
+
+
+@dataclass
+class Sample:
+    """A request: when it was due, its class, what came back, and milliseconds since due."""
+
+    due: float
+    kind: str
+    verdict: str
+    ms: float
+
+
+@dataclass
+class Window:
+    """All requests of one case."""
+
+    samples: list = field(default_factory=list)
+
+    def row(self):
+        """Return the figures of the window."""
+        good = sorted(s.ms for s in self.samples if s.verdict == "answered")
+        high = [s for s in self.samples if s.kind == "high"]
+        served = sum(s.verdict == "answered" for s in high)
+        verdicts = Counter(s.verdict or "cut" for s in self.samples)
+        return {
+            "sent": len(self.samples),
+            "p50": quantile(good, 0.5),
+            "p99": quantile(good, 0.99),
+            "p999": quantile(good, 0.999),
+            "refused": verdicts["not-run"] / max(1, len(self.samples)),
+            "doubtful": (verdicts["may-have-run"] + verdicts["cut"]) / max(1, len(self.samples)),
+            "high_served": served / max(1, len(high)),
+        }
+
+
+def quantile(values, part):
+    """Return a quantile of sorted values."""
+    return values[min(len(values) - 1, int(len(values) * part))] if values else 0.0
+
+
+def delays(fleet, shape):
+    """Delay what VMs of different zones send each other."""
+    vms = list(fleet.vms.values())
+    for one in vms:
+        for other in vms:
+            if one.zone != other.zone:
+                same = one.region == other.region
+                delay_s = ZONE_DELAY_S if same else shape.region_delay_s
+                fleet.proxy.set_fault(one.real_ip, other.real_ip, delay_s=delay_s)
+
+
+class Offer:
+    """An open-loop source: requests at a rate over some seconds, whatever comes back."""
+
+    def __init__(self, fleet, seed):
+        self.rng = random.Random(seed)
+        self.callers = [fleet.caller(zone) for zone in fleet.zones]
+
+    def run(self, rate, seconds, window):
+        """Send, wait for all, and put each request into the window."""
+        for caller in self.callers:
+            caller.lookup("lookup")
+        start, at, threads = time.monotonic(), 0.0, []
+        while at < seconds:
+            at += self.rng.expovariate(rate)
+            due = start + at
+            time.sleep(max(0.0, due - time.monotonic()))
+            args = (self.rng.choice(self.callers), self.rng.choice(CLASSES), due, window)
+            thread = threading.Thread(target=self._send, args=args)
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join()
+
+    def _send(self, caller, kind, due, window):
+        headers = {"Gypsumwind-Class": kind, "Gypsumwind-Timeout-Ms": str(DEADLINE_MS)}
+        try:
+            verdict = caller.send("lookup", f"/v?ms={SERVICE_MS}", headers=headers).verdict
+        except LookupError:
+            verdict = ""
+        window.samples.append(Sample(due, kind, verdict, (time.monotonic() - due) * 1000))
+
+
+def case_steady(fleet, shape):
+    """Half of the capacity."""
+    return STEADY, lambda: None
+
+
+def case_slow(fleet, shape):
+    """One instance takes 400 ms in place of 60."""
+    up = next(iter(fleet.upstreams.values()))
+    up.extra_ms = SLOW_MS - SERVICE_MS
+
+    def undo():
+        up.extra_ms = 0
+
+    return STEADY, undo
+
+
+def case_cold(fleet, shape):
+    """A shift to one region, whose instances answer slowly for their first second."""
+    region = shape.regions[1]
+    for up in fleet.upstreams.values():
+        up.cold_until = time.time() + 1.0 if up.region == region else 0.0
+    others = [r for r in shape.regions if r != region]
+    for other in others:
+        fleet.set_cell("lookup", other, "weight", 50.0)
+
+    def undo():
+        for other in others:
+            fleet.set_cell("lookup", other, "weight", 100.0)
+
+    return STEADY, undo
+
+
+def case_killed(fleet, shape):
+    """The VM of one zone is killed as the window begins."""
+    vm = list(fleet.vms.values())[-1]
+    vm.kill()
+
+    def undo():
+        vm.start()
+        until(fleet.settled, 60)
+
+    return STEADY, undo
+
+
+def case_overload(fleet, shape):
+    """Three times the capacity."""
+    return 3.0, lambda: None
+
+
+def case_liar(fleet, shape):
+    """One instance says it is well and sheds everything."""
+    up = next(iter(fleet.upstreams.values()))
+    up.mode = "shed"
+
+    def undo():
+        up.mode = "ok"
+
+    return STEADY, undo
+
+
+CASES = {
+    "steady": case_steady,
+    "one slow": case_slow,
+    "cold after a shift": case_cold,
+    "lying health": case_liar,
+    "3x overload": case_overload,
+    "zone killed": case_killed,
+}
+CHOICES = {
+    "default": ("least-expected-latency", False),
+    "round robin": ("round-robin", False),
+    "random": ("random", False),
+    "least in flight, no owner": ("least-in-flight", True),
+}
+
+
+def run_cases(fleet, shape, names, runs, seed):
+    """Run the named cases and return their rows, the median of the runs."""
+    rows, first = {}, {}
+    for name in names:
+        results = []
+        for run in range(runs if name != "zone killed" else 1):
+            mark = len(fleet.log.runs)
+            load, undo = CASES[name](fleet, shape)
+            window = Window()
+            Offer(fleet, seed + run).run(load * shape.capacity, SECONDS, window)
+            undo()
+            row = window.row()
+            row["over_slots"] = over_slots(fleet, mark)
+            row["over_limit"] = over_limit(fleet, mark, shape)
+            results.append(row)
+            first.setdefault(name, window)
+        rows[name] = merged(results)
+    return rows, first
+
+
+def over_slots(fleet, mark):
+    """Return the share of starts that found an instance with more in flight than its slots."""
+    runs = fleet.log.runs[mark:]
+    over = sum(run.in_flight > fleet.upstreams[run.instance].slots for run in runs)
+    return over / max(1, len(runs))
+
+
+def over_limit(fleet, mark, shape):
+    """Return the greatest foreign in flight of a region less its limit, 0 when within."""
+    foreign = [r.foreign_in_flight for r in fleet.log.runs[mark:] if r.foreign]
+    return max(0, max(foreign, default=0) - shape.limit)
+
+
+def merged(results):
+    """Return the median of each figure and the spread of p99."""
+    row = {name: statistics.median(r[name] for r in results) for name in results[0]}
+    row["p99_spread"] = [min(r["p99"] for r in results), max(r["p99"] for r in results)]
+    return row
+
+
+def events(fleet):
+    """Return the seconds of an edit, a takeover, and a drain of a VM."""
+    vms = list(fleet.vms.values())
+    start = time.monotonic()
+    result = fleet.set_cell("lookup", vms[0].region, "reserve", 1)
+
+    def in_force():
+        return all(v.status()["tables"].get("lookup") == result.generation for v in vms)
+
+    until(in_force, 30, 0.02)
+    edit_s = time.monotonic() - start
+    start = time.monotonic()
+    vms[0].stop()
+    drain_s = time.monotonic() - start
+    vms[0].start()
+    until(fleet.settled, 60)
+    victim = vms[1]
+    lost = set(victim.status()["holds"])
+    victim.kill()
+    start = time.monotonic()
+    rest = [vm for vm in vms if vm is not victim]
+    until(lambda: lost <= {n for vm in rest for n in vm.status()["holds"]}, 60, 0.05)
+    return {"edit_s": edit_s, "drain_s": drain_s, "takeover_s": time.monotonic() - start}
+
+
+def plot(windows, path):
+    """Draw latency over time, and the share of refusals, for each case."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(len(windows), 1, figsize=(9, 2.2 * len(windows)), sharex=True)
+    for axis, (name, window) in zip(axes, windows.items(), strict=True):
+        start = min(s.due for s in window.samples)
+        colours = {"answered": "tab:blue", "not-run": "tab:orange"}
+        for verdict in {s.verdict for s in window.samples}:
+            found = [s for s in window.samples if s.verdict == verdict]
+            axis.scatter(
+                [s.due - start for s in found],
+                [s.ms for s in found],
+                s=5,
+                color=colours.get(verdict, "tab:red"),
+                label=verdict or "cut",
+            )
+        axis.set_title(name, fontsize=9)
+        axis.set_ylabel("ms")
+        axis.legend(fontsize=7, loc="upper right")
+    axes[-1].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+
+
+def show(title, rows):
+    """Print one table."""
+    print(f"\n{title}")
+    names = ("sent", "p50", "p99", "p999", "refused", "doubtful", "high_served", "over_slots")
+    print(f"{'case':20s}" + "".join(f"{name:>12s}" for name in names))
+    for case, row in rows.items():
+        cells = "".join(
+            f"{row[n]:12.0f}" if n in ("sent", "p50", "p99", "p999") else f"{row[n]:12.3f}"
+            for n in names
+        )
+        print(f"{case:20s}{cells}", flush=True)
+
+
+def main():
+    """Measure and report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=2)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    OUT.mkdir(exist_ok=True)
+    started, result = time.monotonic(), {"seed": args.seed, "runs": args.runs}
+    for title, (choice, ablated) in CHOICES.items():
+        with ADJEI.fleet(choice, ablated) as fleet:
+            fleet.start_vms()
+            delays(fleet, ADJEI)
+            names = list(CASES) if not ablated else list(CASES)[:-1]
+            rows, windows = run_cases(fleet, ADJEI, names, args.runs, args.seed)
+            result[f"adjei {title}"] = rows
+            show(f"adjei, {title}", rows)
+            if title == "default":
+                plot(windows, OUT / "adjei.png")
+                result["adjei events"] = events(fleet)
+                print(result["adjei events"])
+    with COFRE.fleet("least-expected-latency") as fleet:
+        fleet.start_vms()
+        delays(fleet, COFRE)
+        rows, windows = run_cases(fleet, COFRE, list(CASES)[:-1], args.runs, args.seed)
+        result["cofre default"] = rows
+        show("cofre, default", rows)
+        plot(windows, OUT / "cofre.png")
+    result["seconds"] = time.monotonic() - started
+    (OUT / "measure.json").write_text(json.dumps(result, indent=2))
+    print(f"\n{result['seconds']:.0f} s; out/measure.json, out/adjei.png, out/cofre.png")
+
+
+if __name__ == "__main__":
+    main()
--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -28,7 +28,7 @@
 from gypsumwind.core.idempotency import KeyTable
 from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.core.ownership import ClaimReply, HandoverReply, Hold, Ownership
-from gypsumwind.core.records import GLOBAL_SCOPE, Record, Records
+from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
 from gypsumwind.core.table import places_from_json, table_from_json
 from gypsumwind.errors import TableError
 from gypsumwind.log import Log
@@ -144,7 +144,7 @@
         kept = [r for r in records if self._readable(r) and self._records.put(r)]
         tables = [r for r in kept if is_config(r.key)]
         if tables:
-            self._board.tables_hash = self._records.digest(GLOBAL_SCOPE, is_config)
+            self._board.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
         for record in kept:
             self._publish(record)
         if tables:
@@ -254,7 +254,7 @@
         cfg: Settings,
         board: Board,
         metrics: Metrics,
-        discharge: Callable[[str], None],
+        discharge: Callable[[str, bool], None],
         rng: random.Random,
     ) -> None:
         super().__init__()
@@ -394,15 +394,17 @@
     def _cancel_permit(self, message: msg.CancelPermit, now: float) -> None:
         self._waiting.pop(message.attempt, None)
         self._admission.cancel(message.attempt)
-        _, outcome = self._admission.finish(message.attempt, False, now)
-        self._settle(outcome)
+        ended = self._admission.finish(message.attempt, False, now)
+        if ended is not None:
+            self._settle(ended.outcome)
 
     def _finish_permit(self, message: msg.FinishPermit, now: float) -> None:
         running = message.result in (Result.CANCELLED, Result.CUT)
-        state, outcome = self._admission.finish(message.attempt, running, now)
-        self._settle(outcome)
-        if state is None:
+        ended = self._admission.finish(message.attempt, running, now)
+        if ended is None:
             return
+        state = ended.state
+        self._settle(ended.outcome)
         if message.draining:
             state.health.signal_leaving(now)
         elsewhere = self._ejected_elsewhere(state.service)
@@ -410,7 +412,7 @@
             self._metrics.event("instance-ejected")
             log.warning("instance-ejected", instance=state.instance.name)
         if state.instance.name not in self._ownership.held:
-            self._discharge(state.instance.name)
+            self._discharge(state.instance.name, ended.usage.foreign)
 
     def _ejected_elsewhere(self, service: str) -> int:
         members = self._board.members
@@ -460,20 +462,31 @@
         state = self._admission.states.get(message.instance)
         if state is None:
             return hold, []
-        return hold, [*state.in_flight.values(), *state.live_charges(now)]
+        return hold, state.start_handover(now)
 
     def _end_handover(self, message: msg.EndHandover, now: float) -> None:
         match message.reply:
             case HandoverReply.TAKEN:
                 self._ownership.finish_handover(message.hold)
                 self._metrics.event("hold-handed-over")
+                self._discharge_ended(message.hold.instance)
             case HandoverReply.REFUSED:
                 self._ownership.cancel_handover(message.hold.instance)
+                self._end_in_flight(message.hold.instance)
             case HandoverReply.SUPERSEDED:
                 self._ownership.abandon_handover(message.hold.instance)
         self._own()
         self._refuse_orphans(now)
 
+    def _end_in_flight(self, instance: str) -> list[Usage]:
+        state = self._admission.states.get(instance)
+        return state.end_handover() if state else []
+
+    def _discharge_ended(self, instance: str) -> None:
+        """Tell the new owner of requests that ended while the hold was on its way."""
+        for usage in self._end_in_flight(instance):
+            self._discharge(instance, usage.foreign)
+
     def _refuse_orphans(self, now: float) -> None:
         """Refuse queued requests at once when no instance of their service is left here."""
         if not self._ownership.held:
@@ -489,9 +502,9 @@
         return reply
 
     def _discharged(self, message: msg.Discharge, now: float) -> None:
-        self._admission.discharge(message.instance)
         state = self._admission.states.get(message.instance)
         if state is not None:
+            state.discharge(message.foreign)
             self._settle(self._admission.drain_queue(state.service, now))
 
     def _health_seen(self, message: msg.HealthSeen, now: float) -> None:
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -95,7 +95,16 @@
 class SlotState:
     """One instance: what is in flight on it, its limits and its health."""
 
-    __slots__ = ("service", "instance", "limits", "in_flight", "charges", "health", "_report_by")
+    __slots__ = (
+        "service",
+        "instance",
+        "limits",
+        "in_flight",
+        "charges",
+        "health",
+        "_report_by",
+        "_ended_in_handover",
+    )
 
     def __init__(self, service: str, instance: Instance, limits: Limits) -> None:
         self.service = service
@@ -105,6 +114,31 @@
         self.charges: list[Usage] = []
         self.health = Health()
         self._report_by = 0.0
+        self._ended_in_handover: list[Usage] | None = None
+
+    def start_handover(self, now: float) -> list[Usage]:
+        """Return what is in flight for the next owner; what ends from now on is noted."""
+        if self._ended_in_handover is None:
+            self._ended_in_handover = []
+        return [*self.in_flight.values(), *self.live_charges(now)]
+
+    def end_handover(self) -> list[Usage]:
+        """Return what ended since the hand-over began, which the next owner still counts."""
+        ended, self._ended_in_handover = self._ended_in_handover, None
+        return ended or []
+
+    def end(self, attempt: str) -> Usage | None:
+        """Take a request out of what is in flight."""
+        usage = self.in_flight.pop(attempt, None)
+        if usage is not None and self._ended_in_handover is not None:
+            self._ended_in_handover.append(usage)
+        return usage
+
+    def discharge(self, foreign: bool) -> None:
+        """A previous owner finished a request of this kind; others stay counted."""
+        kind = [c for c in self.charges if c.foreign == foreign]
+        if kind:
+            self.charges.remove(kind[0])
 
     def take_over(self, running: list[Usage], report_by: float) -> None:
         """Start to own an instance whose previous owner cannot say what it left in flight.
@@ -177,12 +211,22 @@
     refused: list[Refused] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """A request whose slot was given back, and what that settled in the queue."""
+
+    state: SlotState
+    usage: Usage
+    outcome: Outcome
+
+
 class Admission:
     """Slots of the owned instances and the queue of each service, shorter than its slots."""
 
     def __init__(self, choice: InstanceChoice, queue_wait_s: float, rng: random.Random) -> None:
         self.states: dict[str, SlotState] = {}
         self._owned: set[str] = set()
+        self._granted: dict[str, str] = {}
         self._choice = choice
         self._queue_wait_s = queue_wait_s
         self._rng = rng
@@ -226,12 +270,6 @@
         if state is not None:
             state.charges = list(usages)
 
-    def discharge(self, name: str) -> None:
-        """A previous owner finished one request of an instance."""
-        state = self.states.get(name)
-        if state is not None and state.charges:
-            state.charges.pop(0)
-
     def request(self, req: PermitRequest, now: float) -> Granted | Refused | None:
         """Grant a slot, refuse, or queue the request (None); its answer comes by an Outcome."""
         if now >= req.deadline:
@@ -256,19 +294,18 @@
         queue.append(_Waiter(req, min(req.deadline, now + self._queue_wait_s), self._order))
         return True, outcome
 
-    def finish(self, attempt: str, running: bool, now: float) -> tuple[SlotState | None, Outcome]:
+    def finish(self, attempt: str, running: bool, now: float) -> Ended | None:
         """Give a slot back and pass it to the first fitting request in the queue.
 
         With `running` the upstream may not have stopped yet, so the slot counts a while longer.
         """
-        for state in self.states.values():
-            usage = state.in_flight.pop(attempt, None)
-            if usage is None:
-                continue
-            if running:
-                state.charges.append(Usage(now + CANCEL_S, usage.foreign))
-            return state, self.drain_queue(state.service, now)
-        return None, Outcome()
+        state = self.states.get(self._granted.pop(attempt, ""))
+        usage = state.end(attempt) if state else None
+        if state is None or usage is None:
+            return None
+        if running:
+            state.charges.append(Usage(now + CANCEL_S, usage.foreign))
+        return Ended(state, usage, self.drain_queue(state.service, now))
 
     def observe(
         self,
@@ -364,4 +401,5 @@
         ]
         chosen = fitting[self._choice.pick(candidates, self._rng).name]
         chosen.in_flight[req.attempt] = Usage(req.deadline, req.foreign)
+        self._granted[req.attempt] = chosen.instance.name
         return Granted(req.attempt, chosen.instance.name, chosen.instance.address)
--- a/gypsumwind/core/records.py
+++ b/gypsumwind/core/records.py
@@ -9,7 +9,8 @@
 
 import xxhash
 
-GLOBAL_SCOPE = "global"
+CONFIG_SCOPE = "config"
+ZONES_SCOPE = "zones"
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,13 +24,17 @@
 
 
 class Records:
-    """The records that one VM keeps: those of the global scope and of its zone."""
+    """The records that one VM keeps: configuration, what zones publish, and its own zone's.
+
+    What changes often is in other scopes than what rarely does, so that the versions of the
+    whole table are compared only after a change of it.
+    """
 
     __slots__ = ("_records", "_scopes")
 
     def __init__(self, zone: str) -> None:
         self._records: dict[str, Record] = {}
-        self._scopes = (GLOBAL_SCOPE, zone)
+        self._scopes = (CONFIG_SCOPE, ZONES_SCOPE, zone)
 
     def __len__(self) -> int:
         return len(self._records)
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -161,19 +161,19 @@
         self._members = MembersActor.start(membership, sock, board)
         self._stack.enter_context(ProbeListener(sock, self._members))
 
-    def _discharge(self, instance: str) -> None:
+    def _discharge(self, instance: str, foreign: bool) -> None:
         """Tell the new owner of an instance that one of our requests on it has finished."""
         hold = self._board.holds.known.get(instance)
         member = self._board.members.members.get(hold.holder) if hold else None
         if member is None:
             return
         threading.Thread(
-            target=self._send_discharge, args=(member.endpoint, instance), daemon=True
+            target=self._send_discharge, args=(member.endpoint, instance, foreign), daemon=True
         ).start()
 
-    def _send_discharge(self, to: Endpoint, instance: str) -> None:
+    def _send_discharge(self, to: Endpoint, instance: str, foreign: bool) -> None:
         try:
-            Peers(self._cfg.ip, self._cfg.peer_timeout_s).discharge(to, instance)
+            Peers(self._cfg.ip, self._cfg.peer_timeout_s).discharge(to, instance, foreign)
         except PeerError:
             return
 
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -94,7 +94,7 @@
 
     def _room(self, load: VmLoad, call: Call) -> int:
         room = load.headroom[call.service]
-        if call.origin_region != self._cfg.region:
+        if self._foreign(call):
             return room.free_lent
         return room.free_high if call.priority == 0 else room.free
 
@@ -117,7 +117,7 @@
             attempt=new_id(),
             service=call.service,
             priority=call.priority,
-            foreign=call.origin_region != self._cfg.region,
+            foreign=self._foreign(call),
             deadline=call.deadline,
             exclude=call.exclude,
         )
@@ -165,11 +165,12 @@
         failed = answer.status in SERVER_FAILURES
         end = Result.FAILED if failed else Result.OK
         answer.instance = permit.instance
-        answer.on_end.append(
-            lambda whole: self._finish(
-                permit, end if whole else Result.CANCELLED, started, draining
-            )
-        )
+
+        def finish(whole: bool) -> None:
+            result = end if whole else Result.CANCELLED
+            self._finish(permit, result, started, draining)
+
+        answer.on_end.append(finish)
         return answer
 
     def _outgoing(self, call: Call) -> Outgoing:
@@ -186,6 +187,9 @@
     def _row(self, call: Call) -> Row:
         return self._board.tables[call.service].row(self._cfg.region)
 
+    def _foreign(self, call: Call) -> bool:
+        return call.origin_region != self._cfg.region
+
     def _finish(
         self, permit: Granted, result: Result, started: float, draining: bool = False
     ) -> None:
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -11,7 +11,7 @@
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.delegates import delegates
 from gypsumwind.core.membership import Endpoint, Member
-from gypsumwind.core.records import GLOBAL_SCOPE, Record
+from gypsumwind.core.records import ZONES_SCOPE, Record
 from gypsumwind.log import Log
 from gypsumwind.peers import PeerError, Peers
 from gypsumwind.settings import Settings
@@ -21,7 +21,10 @@
 
 log = Log("gossip")
 
-PUSH_FANOUT = 3
+PUSH_FANOUT = 6
+PACE_S = 0.05
+"""Seconds of a period for each VM of the zone: what control takes stays flat."""
+
 QUEUE_LENGTH = 10_000
 
 
@@ -78,6 +81,11 @@
         self._rng = rng
         self._zone_due = 0.0
 
+    def pause_s(self) -> float:
+        """Return the period: longer in a large zone, whose VMs all publish to each other."""
+        vms = 1 + len(self._board.members.live(self._cfg.zone))
+        return max(self._cfg.gossip_s, PACE_S * vms)
+
     def step(self) -> None:
         """Publish, then exchange with a peer of the zone and, as a delegate, one outside."""
         self._publish_vm()
@@ -136,7 +144,7 @@
         room = {s: headroom_to_wire(h) for s, h in sum_headroom(loads).items()}
         digest = thrift.ZoneDigest(self._cfg.zone, wall(), len(loads), room, common_hash(loads))
         key = ZONE_PREFIX + self._cfg.zone
-        msg.ask(self._records, msg.PublishRecord(key, GLOBAL_SCOPE, pack(digest)))
+        msg.ask(self._records, msg.PublishRecord(key, ZONES_SCOPE, pack(digest)))
 
 
 class SpreadTask(Task):
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -145,7 +145,7 @@
   ClaimAnswer claim(1: string claimant, 2: list<Hold> claims)
   // 0 taken, 1 refused, 2 superseded
   i32 hand_over(1: Hold hold, 2: list<UsageLeft> usages)
-  void discharge(1: string instance)
+  void discharge(1: string instance, 2: bool foreign)
   void inherit(1: list<HomeId> homes, 2: list<KeyEntry> entries)
   bool void_attempt(1: string attempt, 2: i64 remaining_ms, 3: i64 incarnation)
 }
--- a/gypsumwind/legacies.py
+++ b/gypsumwind/legacies.py
@@ -9,7 +9,7 @@
 from gypsumwind.board import Board
 from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Member
-from gypsumwind.core.records import GLOBAL_SCOPE
+from gypsumwind.core.records import CONFIG_SCOPE
 from gypsumwind.core.rendezvous import named_vm
 from gypsumwind.gossip import GossipTask
 from gypsumwind.log import Log
@@ -73,7 +73,7 @@
         expires = wall() + self._cfg.key_ttl_s
         for home in homes:
             payload = pack(thrift.Heir(home[0], home[1], heir.vm, expires))
-            record = msg.PublishRecord(heir_key(home), GLOBAL_SCOPE, payload)
+            record = msg.PublishRecord(heir_key(home), CONFIG_SCOPE, payload)
             msg.ask(self._records, record)
         for member in self._board.members.live():
             self._spread_to(member)
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -223,6 +223,7 @@
     """To the gate actor: a previous owner finished one request of an instance."""
 
     instance: str
+    foreign: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -111,9 +111,9 @@
         left = [thrift.UsageLeft(max(0, int((u.deadline - now) * 1000)), u.foreign) for u in usages]
         return HandoverReply(self._call(to, "hand_over", hold_to_wire(hold), left))
 
-    def discharge(self, to: Endpoint, instance: str) -> None:
+    def discharge(self, to: Endpoint, instance: str, foreign: bool) -> None:
         """Tell the new owner that a request of ours on an instance has finished."""
-        self._call(to, "discharge", instance)
+        self._call(to, "discharge", instance, foreign)
 
     def inherit(
         self, to: Endpoint, homes: Sequence[msg.HomeId], entries: Sequence[KeyEntry]
@@ -197,9 +197,9 @@
         message = msg.AcceptHandover(offered, left, self._board.leaving)
         return int(msg.ask(self._gate, message))
 
-    def discharge(self, instance: str) -> None:
+    def discharge(self, instance: str, foreign: bool) -> None:
         """A previous owner finished one request."""
-        self._gate.tell(msg.Discharge(instance))
+        self._gate.tell(msg.Discharge(instance, foreign))
 
     def inherit(self, homes: list[Any], entries: list[Any]) -> None:
         """Take in keys of a home that stops."""
--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -9,7 +9,7 @@
 from gypsumwind.actors import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY
 from gypsumwind.board import Board
 from gypsumwind.core.edits import merge_tables
-from gypsumwind.core.records import GLOBAL_SCOPE, Record
+from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.table import (
     ServiceTable,
     places_from_json,
@@ -46,7 +46,7 @@
         log.error("object-unreadable", key=found.key)
         return None
     payload = json.dumps(found.value).encode()
-    return Record(key, generation, GLOBAL_SCOPE, payload)
+    return Record(key, generation, CONFIG_SCOPE, payload)
 
 
 class TableWatch(Task):
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -77,11 +77,12 @@
             **self.fleet.settings,
             **settings,
         }
-        module = "tests.standins.ablated" if os.environ.get("ABLATE") else "gypsumwind"
+        module = "tests.standins.ablated" if self.fleet.ablate else "gypsumwind"
         command = [sys.executable, "-m", module]
         for name, value in flags.items():
             command += ["--" + name.replace("_", "-"), str(value)]
         env = {k: v for k, v in os.environ.items() if not k.startswith("GYPSUMWIND_")}
+        env["ABLATE"] = self.fleet.ablate
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=log, stdout=log)
         return self
@@ -129,7 +130,9 @@
 class Fleet:
     """Zones with VMs and upstreams; `zones` maps a zone to its region and number of VMs."""
 
-    def __init__(self, zones, services, settings=None, links=(), seed=1, block=None, proxied=False):
+    def __init__(
+        self, zones, services, settings=None, links=(), seed=1, block=None, proxied=False, ablate=""
+    ):
         self.zones = zones
         self.services = {s.name: s for s in services}
         self.settings = {"entry_ttl_s": 1, "log_level": "INFO", **(settings or {})}
@@ -142,6 +145,7 @@
         self.rng = random.Random(seed)
         self.declares = block is None
         self.proxied = proxied
+        self.ablate = ablate or os.environ.get("ABLATE", "")
         self.log = RunLog()
         self.vms = {}
         self.upstreams = {}
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -18,6 +18,7 @@
 from tests.standins.http import QuietHandler, StandIn
 
 CHUNK = 65536
+COLD_MS = 300
 
 
 @dataclass
@@ -97,6 +98,7 @@
         self.health = "ok"
         self.frozen_load = None
         self.cold_until = 0.0
+        self.extra_ms = 0
         self.rng = random.Random(name)
 
 
@@ -140,7 +142,7 @@
         run = up.log.begin(up, self.path, self.headers.get("Idempotency-Key", ""), region)
         try:
             digest = self._read_body()
-            self._work(int(query.get("ms", "0")) / 1000.0)
+            self._work((int(query.get("ms", "0")) + self._extra_ms(up)) / 1000.0)
             ended = up.log.end(up, run)
             run = None
             self._answer(up, query, digest, ended)
@@ -150,6 +152,10 @@
             if run is not None:
                 up.log.end(up, run)
 
+    def _extra_ms(self, up):
+        """Return what a slow or cold instance takes on top."""
+        return up.extra_ms + (COLD_MS if time.time() < up.cold_until else 0)
+
     def _work(self, seconds):
         """Take the time, but stop when the deadline passes or the request is cancelled."""
         until = time.monotonic() + seconds
