--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -1,6 +1,5 @@
 """The actors: each owns one part of the state and is reached by messages alone."""
 
-import json
 import random
 import socket
 from collections.abc import Callable
@@ -29,13 +28,14 @@
 from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.core.ownership import ClaimReply, HandoverReply, Hold, Ownership
 from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
-from gypsumwind.core.table import places_from_json, table_from_json
+from gypsumwind.core.routes import route_of
+from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
 from gypsumwind.errors import TableError
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
 from gypsumwind.settings import Settings
 from gypsumwind.traffic import control
-from gypsumwind.utils import monotonic, split_address, wall
+from gypsumwind.utils import monotonic, split_address, unpack_json, wall
 from gypsumwind.wire import datagram_to_bytes, headroom_from_wire, thrift, unpack
 
 log = Log("actors")
@@ -110,11 +110,13 @@
         self,
         board: Board,
         zone: str,
+        region: str,
         gate: "pykka.ActorRef[GateActor]",
         spread: Callable[[list[Record]], None],
     ) -> None:
         super().__init__()
         self._records = Records(zone)
+        self._region = region
         self._board = board
         self._gate = gate
         self._spread = spread
@@ -142,16 +144,26 @@
 
     def _put(self, records: tuple[Record, ...]) -> list[Record]:
         kept = [r for r in records if self._readable(r) and self._records.put(r)]
-        tables = [r for r in kept if is_config(r.key)]
-        if tables:
-            self._board.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
+        config = [r for r in kept if is_config(r.key)]
         for record in kept:
             self._publish(record)
-        if tables:
-            self._gate.tell(msg.SyncTables(tuple(self._board.tables.values()), self._board.places))
-            self._spread(tables)
+        if config:
+            self._publish_routes(config)
+            self._board.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
+            self._spread(config)
         return kept
 
+    def _publish_routes(self, changed: list[Record]) -> None:
+        """Put the changed tables in force; after a change of the places, all of them."""
+        if any(record.key == PLACES_KEY for record in changed):
+            changed = self._records.with_prefix(TABLE_PREFIX)
+        routes = {}
+        for record in changed:
+            table = table_of(record)
+            routes[table.service] = route_of(table, self._board.places, self._region)
+        self._board.routes = {**self._board.routes, **routes}
+        self._gate.tell(msg.SyncRoutes(tuple(routes.values())))
+
     def _prune(self) -> None:
         """Forget who inherited keys that have expired."""
         for heir in list(self._board.heirs.values()):
@@ -181,7 +193,6 @@
             board.places = value
             log.info("places-in-force", generation=value.generation)
         elif record.key.startswith(TABLE_PREFIX):
-            board.tables = {**board.tables, value.service: value}
             log.info("table-in-force", service=value.service, generation=value.generation)
         elif record.key.startswith(VM_PREFIX):
             board.vms = {**board.vms, value.vm: value}
@@ -194,6 +205,11 @@
             self._gate.tell(msg.SyncLeaving(frozenset(value)))
 
 
+def table_of(record: Record) -> ServiceTable:
+    """Return the whole table of a table/ record."""
+    return table_from_json(unpack_json(record.payload))
+
+
 def is_config(key: str) -> bool:
     """Tell whether a record is a table or the places."""
     return key.startswith(TABLE_PREFIX) or key == PLACES_KEY
@@ -207,15 +223,15 @@
 def _decode(record: Record) -> Any:
     """Return the typed value of a record; ValueError or TableError if it is unreadable."""
     if record.key == PLACES_KEY:
-        return places_from_json(json.loads(record.payload))
+        return places_from_json(unpack_json(record.payload))
     if record.key.startswith(TABLE_PREFIX):
-        return table_from_json(json.loads(record.payload))
+        return table_of(record)
     if record.key.startswith(VM_PREFIX):
         return vm_load_from_bytes(record.payload)
     if record.key.startswith(ZONE_PREFIX):
         return zone_load_from_bytes(record.payload)
     if record.key == VMLIST_KEY:
-        return json.loads(record.payload)
+        return unpack_json(record.payload)
     if record.key.startswith(HEIR_PREFIX):
         return heir_from_bytes(record.payload)
     raise ValueError(f"unknown kind of record: {record.key}")
@@ -272,7 +288,7 @@
         self._leaving_ips: frozenset[str] = frozenset()
         self._handlers: dict[type, Callable[[Any, float], Any]] = {
             msg.Tick: self._tick,
-            msg.SyncTables: self._sync_tables,
+            msg.SyncRoutes: self._sync_routes,
             msg.SyncLeaving: self._sync_leaving,
             msg.LearnHolds: self._learn_holds,
             msg.RequestPermit: self._request_permit,
@@ -336,10 +352,10 @@
         self._publish(now)
         return self._board.holds
 
-    def _sync_tables(self, message: msg.SyncTables, now: float) -> None:
+    def _sync_routes(self, message: msg.SyncRoutes, now: float) -> None:
         settle_at = now + self._cfg.settle_s
-        for table in message.tables:
-            self._admission.sync_table(table, message.places, self._cfg.region, settle_at)
+        for route in message.routes:
+            self._admission.sync_route(route, self._cfg.region, settle_at)
         self._mark_leaving()
 
     def _sync_leaving(self, message: msg.SyncLeaving, now: float) -> None:
--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -6,7 +6,8 @@
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
-from gypsumwind.core.table import Places, ServiceTable
+from gypsumwind.core.routes import ServiceRoute
+from gypsumwind.core.table import Places
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,11 +89,11 @@
 
 
 class Board:
-    """The latest snapshots: members, tables, places, loads, holds, and the fence."""
+    """The latest snapshots: members, routes, places, loads, holds, and the fence."""
 
     __slots__ = (
         "members",
-        "tables",
+        "routes",
         "tables_hash",
         "places",
         "vms",
@@ -105,7 +106,7 @@
 
     def __init__(self, me: Member) -> None:
         self.members = MembersView(me, {}, {})
-        self.tables: Mapping[str, ServiceTable] = {}
+        self.routes: Mapping[str, ServiceRoute] = {}
         self.tables_hash = 0
         self.places = Places()
         self.vms: Mapping[str, VmLoad] = {}
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -8,8 +8,9 @@
 from gypsumwind.core.choice import Candidate, InstanceChoice
 from gypsumwind.core.health import Health, Result
 from gypsumwind.core.limits import Limits, SettlingLimits
+from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.split import instance_shares
-from gypsumwind.core.table import Instance, Places, ServiceTable, region_instances
+from gypsumwind.core.table import Instance
 
 RETRY_AFTER_S = 1.0
 CANCEL_S = 0.5
@@ -233,21 +234,19 @@
         self._queues: dict[str, list[_Waiter]] = {}
         self._order = 0
 
-    def sync_table(
-        self, table: ServiceTable, places: Places, region: str, settle_at: float
-    ) -> None:
+    def sync_route(self, route: ServiceRoute, region: str, settle_at: float) -> None:
         """Take in a version of a service's table for the instances of this region."""
-        row = table.row(region)
-        siblings = region_instances(table, places, region)
+        row = route.row(region)
+        siblings = route.instances
         lent = instance_shares(row.limit, siblings)
         reserve = instance_shares(row.reserve, siblings)
         names = set()
         for inst in siblings:
             names.add(inst.name)
             limits = Limits(inst.slots, lent.get(inst.name, 0), reserve.get(inst.name, 0))
-            self._sync_instance(table.service, inst, limits, settle_at)
+            self._sync_instance(route.service, inst, limits, settle_at)
         for name, state in list(self.states.items()):
-            if state.service == table.service and name not in names and not state.in_flight:
+            if state.service == route.service and name not in names and not state.in_flight:
                 del self.states[name]
 
     def _sync_instance(self, service: str, inst: Instance, limits: Limits, settle: float) -> None:
--- a/gypsumwind/core/table.py
+++ b/gypsumwind/core/table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
+from functools import cache
 from typing import Any
 
 from gypsumwind.core.shifts import Shift, steady
@@ -138,6 +139,17 @@
     not_run_statuses: frozenset[int]
 
 
+@cache
+def _words(text: str) -> frozenset[str]:
+    """Return the words of a cell; rows with the same text share one set."""
+    return frozenset(text.split())
+
+
+@cache
+def _numbers(text: str) -> frozenset[int]:
+    return frozenset(int(part) for part in text.split())
+
+
 @dataclass(slots=True, frozen=True)
 class ServiceTable:
     """One service's part of the table at one generation; generations only rise."""
@@ -163,16 +175,10 @@
             reserve=int(self.cell(region, "reserve").value),
             shift_cap=float(self.cell(region, "shift_cap").value),
             local_bias=float(self.cell(region, "local_bias").value),
-            repeatable=frozenset(str(self.cell(region, "repeatable").value).split()),
-            not_run_statuses=frozenset(
-                int(s) for s in str(self.cell(region, "not_run_statuses").value).split()
-            ),
+            repeatable=_words(str(self.cell(region, "repeatable").value)),
+            not_run_statuses=_numbers(str(self.cell(region, "not_run_statuses").value)),
         )
 
-    def zone_instances(self, zone: str) -> list[Instance]:
-        """Return the instances of one availability zone."""
-        return [inst for inst in self.instances.values() if inst.zone == zone]
-
     def has_edit(self, edit_id: str) -> bool:
         """Tell whether an edit is part of this document."""
         return any(record.edit_id == edit_id for record in self.history)
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -153,7 +153,9 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((cfg.ip, cfg.peer_port))
         self._gate = GateActor.start(cfg, board, self._metrics, self._discharge, self._rng)
-        self._records = RecordsActor.start(board, cfg.zone, self._gate, self._spread.put)
+        self._records = RecordsActor.start(
+            board, cfg.zone, cfg.region, self._gate, self._spread.put
+        )
         self._home = HomeActor.start((cfg.vm, self._boot), cfg.key_capacity, cfg.key_bytes)
         seeds = [Endpoint(s.ip, 0, 0, s.peer_port) for s in cfg.seeds]
         timing = Timing(cfg.probe_s, cfg.probe_ack_s, cfg.suspect_s)
@@ -188,6 +190,7 @@
         parts = Parts(
             board,
             self._gate,
+            self._records,
             gate,
             origin,
             home,
--- a/gypsumwind/editors.py
+++ b/gypsumwind/editors.py
@@ -69,8 +69,9 @@
 
     def tables(self) -> list[ServiceTable]:
         """Return all tables as stored."""
-        found = self._store.list_objects(TABLES).objects
-        return sorted((table_from_json(o.value) for o in found), key=lambda t: t.service)
+        pages = self._store.list_objects(TABLES)
+        tables = [table_from_json(obj.value) for page in pages for obj in page.objects]
+        return sorted(tables, key=lambda table: table.service)
 
     def places(self) -> Places:
         """Return the places as stored."""
--- a/gypsumwind/entries.py
+++ b/gypsumwind/entries.py
@@ -18,7 +18,7 @@
     Near VMs that own instances of the service come first, then near VMs, then those of the
     region, then others. Each near entry has a prefix for idempotency keys whose home it is.
     """
-    if service not in board.tables:
+    if service not in board.routes:
         return None
     me = board.members.me
     members = board.members.live() + ([] if board.leaving else [me])
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -185,7 +185,7 @@
         )
 
     def _row(self, call: Call) -> Row:
-        return self._board.tables[call.service].row(self._cfg.region)
+        return self._board.routes[call.service].row(self._cfg.region)
 
     def _foreign(self, call: Call) -> bool:
         return call.origin_region != self._cfg.region
--- a/gypsumwind/holds.py
+++ b/gypsumwind/holds.py
@@ -11,7 +11,7 @@
 from gypsumwind.core.adoption import contacts, named_holder
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
-from gypsumwind.core.table import Instance, region_instances
+from gypsumwind.core.table import Instance
 from gypsumwind.gossip import zone_vms
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
@@ -106,8 +106,7 @@
         return live
 
     def _instances(self) -> list[Instance]:
-        places, tables = self._board.places, self._board.tables.values()
-        return [i for table in tables for i in region_instances(table, places, self._cfg.region)]
+        return [inst for route in self._board.routes.values() for inst in route.instances]
 
     def _hand_over(self, view: HoldsView, named: dict[str, str | None]) -> None:
         moves = dict(view.handing)
@@ -214,7 +213,7 @@
         """Every voter has to be asked; the zone's other VMs are silent for long and missed."""
         if any(member.state is State.SUSPECT for member in voters):
             return False
-        return all(self._witnessed(endpoint) for endpoint in self._missing(zone))
+        return all(self._witnessed(zone, endpoint) for endpoint in self._missing(zone))
 
     def _missing(self, zone: str) -> list[Endpoint]:
         """Return the VMs of a zone that are dead, and the seeds of it never heard of."""
@@ -226,20 +225,35 @@
         unheard = [s for s in self._cfg.seeds if s.zone == zone and _place(s) not in known]
         return dead + [_endpoint(seed) for seed in unheard]
 
-    def _witnessed(self, target: Endpoint) -> bool:
-        """Tell whether a VM has been silent for long enough and others miss it too."""
+    def _witnessed(self, zone: str, target: Endpoint) -> bool:
+        """Tell whether a VM of a zone has been silent for long enough and others miss it too."""
         members, now = self._board.members, monotonic()
         found = [m for m in members.members.values() if m.endpoint == target]
         if found and not members.dead(found[0].vm, self._silence_s, now):
             return False
         if not found and now - self._started_at < self._silence_s:
             return False
-        live = members.live()
-        inside = [m for m in live if m.zone == self._cfg.zone]
-        outside = [m for m in live if m.zone != self._cfg.zone]
+        return not self._reaches(target) and self._none_reaches(self._witnesses(zone), target)
+
+    def _witnesses(self, zone: str) -> list[Member]:
+        """Return VMs to ask about the VMs of a zone.
+
+        For another zone only those outside of both count: a zone that is cut off from all
+        others misses them all, and must not take over from them.
+        """
+        live = self._board.members.live()
+        own = [m for m in live if m.zone == self._cfg.zone]
+        outside = [m for m in live if m.zone not in (self._cfg.zone, zone)]
         self._rng.shuffle(outside)
-        witnesses = (inside + outside)[:WITNESSES]
-        return self._none_reaches(witnesses, target)
+        inside = own if zone == self._cfg.zone else []
+        return (inside + outside)[:WITNESSES]
+
+    def _reaches(self, target: Endpoint) -> bool:
+        try:
+            self._peers.ping(target)
+        except PeerError:
+            return False
+        return True
 
     def _none_reaches(self, witnesses: list[Member], target: Endpoint) -> bool:
         misses = 0
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -12,7 +12,7 @@
 from gypsumwind.core.membership import Ack, Member, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
-from gypsumwind.core.table import Places, ServiceTable
+from gypsumwind.core.routes import ServiceRoute
 
 ASK_TIMEOUT_S = 5.0
 
@@ -105,11 +105,10 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SyncTables:
-    """To the gate actor: these tables and places are in force now."""
+class SyncRoutes:
+    """To the gate actor: these versions of services' tables are in force now."""
 
-    tables: tuple[ServiceTable, ...]
-    places: Places
+    routes: tuple[ServiceRoute, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/origins.py
+++ b/gypsumwind/origins.py
@@ -8,7 +8,7 @@
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.buckets import RetryBudget
 from gypsumwind.core.choice import ZoneOption, order_zones
-from gypsumwind.core.table import ServiceTable
+from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.gates import Gate
@@ -46,8 +46,8 @@
 
     def route(self, call: Call) -> Answer:
         """Send a call to a zone that can serve it; RequestError carries the worst verdict."""
-        table = self._table(call.service)
-        zones = self._zones(table, call)
+        route = self._route_of(call.service)
+        zones = self._zones(route, call)
         doubtful: RequestError | None = None
         last = RequestError(
             Code.NO_ROUTE,
@@ -63,7 +63,7 @@
                 last = exc
                 if exc.verdict is not Verdict.NOT_RUN:
                     doubtful = exc
-                if not self._may_retry(table, call, exc):
+                if not self._may_retry(route, call, exc):
                     break
                 self._metrics.event("retry")
                 continue
@@ -79,50 +79,47 @@
             last.code, last.message, Verdict.MAY_HAVE_RUN, last.status, last.retry_after_s
         )
 
-    def _table(self, service: str) -> ServiceTable:
-        table = self._board.tables.get(service)
-        if table is None:
+    def _route_of(self, service: str) -> ServiceRoute:
+        route = self._board.routes.get(service)
+        if route is None:
             raise RequestError(
                 Code.UNKNOWN_SERVICE,
                 f"no service {service!r} in the table",
                 Verdict.NOT_RUN,
                 404,
             )
-        return table
+        return route
 
-    def _may_retry(self, table: ServiceTable, call: Call, exc: RequestError) -> bool:
+    def _may_retry(self, route: ServiceRoute, call: Call, exc: RequestError) -> bool:
         if not call.body.replayable or exc.code is Code.DEADLINE_EXCEEDED or cancelled():
             return False
         if exc.verdict is Verdict.NOT_RUN:
             return True
-        repeatable = call.method in table.row(self._cfg.region).repeatable
+        repeatable = call.method in route.row(self._cfg.region).repeatable
         return repeatable and exc.code is not Code.BAD_REQUEST and self._budget.take()
 
-    def _zones(self, table: ServiceTable, call: Call) -> list[str]:
+    def _zones(self, route: ServiceRoute, call: Call) -> list[str]:
         now = wall()
         options = [
             option
             for zone, region in self._board.places.zones.items()
-            if (option := self._option(table, call, zone, region, now)) is not None
+            if (option := self._option(route, call, zone, region, now)) is not None
         ]
         return [option.zone for option in order_zones(options, call.remaining_s(), self._rng)]
 
     def _option(
-        self, table: ServiceTable, call: Call, zone: str, region: str, now: float
+        self, route: ServiceRoute, call: Call, zone: str, region: str, now: float
     ) -> ZoneOption | None:
-        slots = sum(inst.slots for inst in table.zone_instances(zone))
+        slots = route.zone_slots.get(zone, 0)
         if not slots or not self._reachable(zone):
             return None
-        region_slots = sum(
-            inst.slots
-            for inst in table.instances.values()
-            if self._board.places.region_of(inst.zone) == region and self._reachable(inst.zone)
-        )
-        row = table.row(region)
+        zones = self._board.places.zones_of(region)
+        region_slots = sum(route.zone_slots.get(z, 0) for z in zones if self._reachable(z))
+        row = route.row(region)
         weight = row.weight.weight_at(now) * slots / region_slots
         if region == self._cfg.region:
             weight *= row.local_bias
-        free, known = self._free(table.service, call, zone, region, now)
+        free, known = self._free(route.service, call, zone, region, now)
         return ZoneOption(zone, weight, free if known else 1, True, 0.0)
 
     def _reachable(self, zone: str) -> bool:
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -23,7 +23,6 @@
     forwarded,
 )
 from gypsumwind.core.admission import Priority
-from gypsumwind.core.table import table_to_json
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.entries import entries_page
 from gypsumwind.errors import Code, RequestError
@@ -38,7 +37,7 @@
 from gypsumwind.servers import CONTROL_THREADS, Exchange, InFlight, internal_error
 from gypsumwind.settings import Settings
 from gypsumwind.statuses import status_page
-from gypsumwind.utils import jittered, monotonic, wall
+from gypsumwind.utils import jittered, monotonic, unpack_json, wall
 
 log = Log("pages")
 
@@ -55,6 +54,7 @@
 
     board: Board
     gate_actor: pykka.ActorRef
+    records: pykka.ActorRef
     gate: Gate
     origin: Origin
     home: Home
@@ -153,7 +153,7 @@
         try:
             verdict, code = self._serve(ex, service, "/" + rest)
         finally:
-            known = service if service in self._parts.board.tables else "unknown"
+            known = service if service in self._parts.board.routes else "unknown"
             self._parts.metrics.request(
                 known, tenant, priority, verdict.value, code, time.monotonic() - started
             )
@@ -194,8 +194,8 @@
         return self._parts.origin.route(call)
 
     def _needs_home(self, call: Call) -> bool:
-        table = self._parts.board.tables.get(call.service)
-        return table is not None and call.method not in table.row(self._cfg.region).repeatable
+        route = self._parts.board.routes.get(call.service)
+        return route is not None and call.method not in route.row(self._cfg.region).repeatable
 
     def _early(self, ex: Exchange, exc: RequestError) -> RequestError:
         key = ex.headers.get(H_KEY, "").strip('"')
@@ -229,11 +229,12 @@
         ex.send_json(200, status_page(self._cfg, self._parts.board))
 
     def _table(self, ex: Exchange) -> None:
-        table = self._parts.board.tables.get(ex.path[len(TABLE_PREFIX) :])
-        if table is None:
+        key = "table/" + ex.path[len(TABLE_PREFIX) :]
+        found = msg.ask(self._parts.records, msg.GetRecords((key,)))
+        if not found:
             ex.send_json(404, {"error": "no such service in the table"})
             return
-        ex.send_json(200, table_to_json(table))
+        ex.send_json(200, unpack_json(found[0].payload))
 
     def _histograms(self, ex: Exchange) -> None:
         ex.send_json(200, {"histograms": histogram_rows()})
@@ -284,7 +285,7 @@
     def _serve(self, ex: Exchange) -> Answer:
         service, _, rest = ex.target.lstrip("/").partition("/")
         call = read_call(self._cfg, ex, service, "/" + rest)
-        if service not in self._parts.board.tables:
+        if service not in self._parts.board.routes:
             text = f"no service {service!r} in the table here"
             raise RequestError(Code.UNKNOWN_SERVICE, text, Verdict.NOT_RUN, 404)
         admit = msg.AdmitAttempt(call.attempt, call.deadline)
--- a/gypsumwind/probes.py
+++ b/gypsumwind/probes.py
@@ -38,8 +38,8 @@
         held = set(self._board.holds.held)
         found = [
             inst
-            for table in self._board.tables.values()
-            for inst in table.instances.values()
+            for route in self._board.routes.values()
+            for inst in route.instances
             if inst.name in held
         ]
         list(self._workers.map(self._probe, found))
--- a/gypsumwind/statuses.py
+++ b/gypsumwind/statuses.py
@@ -21,7 +21,7 @@
         "vm": cfg.vm,
         "zone": cfg.zone,
         "leaving": board.leaving,
-        "tables": {name: table.generation for name, table in sorted(board.tables.items())},
+        "tables": {name: route.generation for name, route in sorted(board.routes.items())},
         "places": board.places.generation,
         "zones": zones,
         "vms": [_vm(member) for member in _members(board)],
@@ -80,9 +80,6 @@
 def _weights(board: Board) -> dict[str, dict[str, float]]:
     now = wall()
     return {
-        name: {
-            region: round(table.row(region).weight.weight_at(now), 3)
-            for region in sorted(table.cells)
-        }
-        for name, table in sorted(board.tables.items())
+        name: {region: round(row.weight.weight_at(now), 3) for region, row in route.rows.items()}
+        for name, route in sorted(board.routes.items())
     }
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -1,7 +1,7 @@
 """The platform's object API: a Protocol, and its HTTP form that docs/platform.md gives."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
@@ -12,6 +12,7 @@
 from gypsumwind.errors import Code, StoreError
 
 WATCH_MARGIN_S = 2.0
+PAGE_OBJECTS = 50
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,10 +26,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """Objects under a prefix and the store's revision that they are of."""
+    """Objects under a prefix and the store's revision that they are of.
+
+    `next_key` is where the next page of a list begins, empty after the last.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    next_key: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,8 +61,8 @@
         """
         ...
 
-    def list_objects(self, prefix: str) -> Listing:
-        """Return all objects under a prefix."""
+    def list_objects(self, prefix: str) -> Iterator[Listing]:
+        """Yield all objects under a prefix, a page after the other."""
         ...
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
@@ -106,10 +111,17 @@
             raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"write {key}: {exc}") from exc
         return _written(key, answer.status, answer.data)
 
-    def list_objects(self, prefix: str) -> Listing:
-        """Return all objects under a prefix."""
-        _, doc = self._read(f"/v1/objects?prefix={quote(prefix)}")
-        return _listing(doc)
+    def list_objects(self, prefix: str) -> Iterator[Listing]:
+        """Yield all objects under a prefix, a page after the other."""
+        start = ""
+        while True:
+            query = f"prefix={quote(prefix)}&start={quote(start)}&limit={PAGE_OBJECTS}"
+            _, doc = self._read(f"/v1/objects?{query}")
+            page = _listing(doc)
+            yield page
+            if not page.next_key:
+                return
+            start = page.next_key
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
         """Wait for changes after a revision."""
@@ -164,6 +176,6 @@
 def _listing(doc: Mapping[str, Any]) -> Listing:
     try:
         objects = tuple(_object(item) for item in doc["objects"])
-        return Listing(objects, int(doc["revision"]))
+        return Listing(objects, int(doc["revision"]), str(doc.get("next", "")))
     except (KeyError, TypeError, ValueError) as exc:
         raise StoreError(Code.STORE_UNAVAILABLE, f"listing from the store: {exc!r}") from exc
--- a/gypsumwind/utils.py
+++ b/gypsumwind/utils.py
@@ -1,8 +1,11 @@
 """Small functions that several modules share."""
 
+import json
 import os
 import random
 import time
+import zlib
+from typing import Any
 from urllib.parse import urlsplit
 
 
@@ -43,3 +46,16 @@
     if parts.scheme != "http" or parts.path not in ("", "/"):
         raise ValueError(f"{text!r} is not of the form http://IP:PORT")
     return split_address(parts.netloc)
+
+
+def pack_json(doc: Any) -> bytes:
+    """Return a document as compressed JSON."""
+    return zlib.compress(json.dumps(doc, separators=(",", ":")).encode())
+
+
+def unpack_json(data: bytes) -> Any:
+    """Read compressed JSON; ValueError if it is not."""
+    try:
+        return json.loads(zlib.decompress(data))
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from exc
--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -1,12 +1,11 @@
 """The platform's store as delegates follow it: a watch on the table, and the list of VMs."""
 
-import json
 import random
 
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY
+from gypsumwind.actors import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY, table_of
 from gypsumwind.board import Board
 from gypsumwind.core.edits import merge_tables
 from gypsumwind.core.records import CONFIG_SCOPE, Record
@@ -23,7 +22,7 @@
 from gypsumwind.settings import Settings
 from gypsumwind.stores import Listing, Store, StoredObject
 from gypsumwind.tasks import Task
-from gypsumwind.utils import jittered
+from gypsumwind.utils import jittered, pack_json
 
 log = Log("watchers")
 
@@ -45,7 +44,7 @@
     except (KeyError, TypeError, ValueError):
         log.error("object-unreadable", key=found.key)
         return None
-    payload = json.dumps(found.value).encode()
+    payload = pack_json(found.value)
     return Record(key, generation, CONFIG_SCOPE, payload)
 
 
@@ -97,9 +96,7 @@
 
     def _follow(self) -> None:
         if self._revision is None:
-            listing = self._store.list_objects(CONFIG_PREFIX)
-            self._take(listing)
-            self.loaded = True
+            self._load()
             return
         listing = self._store.watch(CONFIG_PREFIX, self._revision, WATCH_WAIT_S)
         if listing.revision < self._revision:
@@ -108,6 +105,15 @@
             return
         self._take(listing)
 
+    def _load(self) -> None:
+        """Read all pages; what changes meanwhile is seen by a watch from the first page on."""
+        revision: int | None = None
+        for page in self._store.list_objects(CONFIG_PREFIX):
+            revision = page.revision if revision is None else revision
+            self._take(page)
+        self._revision = revision
+        self.loaded = True
+
     def _take(self, listing: Listing) -> None:
         found = [r for o in listing.objects if (r := record_of(o)) is not None]
         msg.ask(self._records, msg.PutRecords(tuple(found)))
@@ -135,8 +141,8 @@
             return places_to_json(held) if stale else None
         if not key.startswith(TABLE_PREFIX):
             return None
-        mine = self._board.tables.get(key.removeprefix(TABLE_PREFIX))
-        return None if mine is None else mend_table(mine, table_from_json(obj.value))
+        records = msg.ask(self._records, msg.GetRecords((key,)))
+        return mend_table(table_of(records[0]), table_from_json(obj.value)) if records else None
 
 
 def mend_table(held: ServiceTable, found: ServiceTable) -> dict | None:
@@ -174,6 +180,6 @@
         leaving = sorted(v.ip for v in listed if v.leaving and v.zone == self._cfg.zone)
         if leaving != self._last:
             self._last = leaving
-            payload = json.dumps(leaving).encode()
+            payload = pack_json(leaving)
             record = msg.PublishRecord(VMLIST_KEY, self._cfg.zone, payload)
             msg.ask(self._records, record)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -15,6 +15,7 @@
 from gypsumwind.core.choice import LeastExpectedLatency
 from gypsumwind.core.edits import CellEdit, EditBatch, InstanceEdit, apply_batch
 from gypsumwind.core.health import Result
+from gypsumwind.core.routes import route_of
 from gypsumwind.core.table import Instance, Places, ServiceTable
 
 PLACES = Places(1, {"accra-a": "accra"})
@@ -31,7 +32,7 @@
 
 def admission(**kwargs):
     found = Admission(LeastExpectedLatency(), 1.0, random.Random(1))
-    found.sync_table(table(**kwargs), PLACES, "accra", 0.0)
+    found.sync_route(route_of(table(**kwargs), PLACES, "accra"), "accra", 0.0)
     found.set_owned(["i0", "i1"])
     return found
 
@@ -150,8 +151,8 @@
 
     @rule(limit=st.integers(0, 4), reserve=st.integers(0, 3))
     def table_changes(self, limit, reserve):
-        changed = table(limit=limit, reserve=reserve)
-        self.found.sync_table(changed, PLACES, "accra", self.now + 1.0)
+        changed = route_of(table(limit=limit, reserve=reserve), PLACES, "accra")
+        self.found.sync_route(changed, "accra", self.now + 1.0)
         self.limit = max(self.limit, limit)
 
     @invariant()
--- a/tests/integration/test_limits.py
+++ b/tests/integration/test_limits.py
@@ -131,6 +131,24 @@
         check_limits(fleet)
 
 
+def test_zone_that_misses_all_others_adopts_nothing():
+    """Its VMs are cut off, but still reach the upstreams of the neighbour zone."""
+    services = [Service("lookup", slots=3, cells={"limit": LIMIT, "local_bias": 1.0})]
+    with Fleet(ZONES, services, proxied=True) as fleet:
+        fleet.start_vms()
+        inside = fleet.in_zone("accra-a")
+        outside = [vm for vm in fleet.vms.values() if vm.zone != "accra-a"]
+        with load(fleet):
+            fleet.cut(inside, outside)
+            fleet.cut_store(inside)
+            until_s = time.monotonic() + 8
+            while time.monotonic() < until_s:
+                assert not _held(fleet, "accra-a") & set(_names(fleet, "accra-b"))
+                time.sleep(0.2)
+        for name in _names(fleet, "accra-b"):
+            assert fleet.log.greatest(name) <= fleet.upstreams[name].slots
+
+
 def _held(fleet, zone):
     return {name for vm in fleet.in_zone(zone) for name in vm.status()["holds"]}
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -69,6 +69,14 @@
         items = self.objects.values()
         return [o for o in items if o["key"].startswith(prefix) and o["version"] > after]
 
+    def page(self, prefix, start, limit):
+        """Return a page of objects in the order of their keys."""
+        with self.changed:
+            found = sorted(self.under(prefix), key=lambda o: o["key"])
+            found = [o for o in found if o["key"] >= start]
+            more = found[limit]["key"] if len(found) > limit else ""
+            return {"objects": found[:limit], "revision": self.revision, "next": more}
+
     def watch(self, prefix, after, wait_s):
         """Wait for a change under a prefix."""
         until = time.monotonic() + wait_s
@@ -89,7 +97,7 @@
         if not self._available():
             return
         url = urlsplit(self.path)
-        query = {k: v[-1] for k, v in parse_qs(url.query).items()}
+        query = {k: v[-1] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/v1/vms":
             self._json(200, {"vms": store.vm_list})
         elif url.path == "/v1/watch":
@@ -97,9 +105,7 @@
             if self._available():
                 self._json(200, found)
         elif url.path == OBJECTS:
-            with store.changed:
-                doc = {"objects": store.under(query["prefix"]), "revision": store.revision}
-            self._json(200, doc)
+            self._json(200, store.page(query["prefix"], query["start"], int(query["limit"])))
         else:
             obj = store.objects.get(unquote(url.path[len(OBJECTS) + 1 :]))
             self._json(200 if obj else 404, obj or {"error": "not found"})
