--- a/tests/integration/test_limits.py
+++ b/tests/integration/test_limits.py
@@ -141,7 +141,7 @@
         with load(fleet):
             fleet.cut(inside, outside)
             fleet.cut_store(inside)
-            until_s = time.monotonic() + 8
+            until_s = time.monotonic() + 14
             while time.monotonic() < until_s:
                 assert not _held(fleet, "accra-a") & set(_names(fleet, "accra-b"))
                 time.sleep(0.2)
