--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -10,7 +10,6 @@
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import GateActor, HomeActor, MembersActor, RecordsActor
 from gypsumwind.board import Board
 from gypsumwind.claims import KeyClaims
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
@@ -20,13 +19,17 @@
 from gypsumwind.hangups import HangupTask
 from gypsumwind.holds import HoldsTask
 from gypsumwind.homes import Home, HomeParts
+from gypsumwind.keys import HomeActor
 from gypsumwind.legacies import Legacy
 from gypsumwind.log import Log
+from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
 from gypsumwind.origins import Origin
 from gypsumwind.pages import CallerPages, HandoffPages, Parts
 from gypsumwind.peers import PeerError, Peers, PeerServer, PeerService, ProbeListener
+from gypsumwind.permits import GateActor
 from gypsumwind.probes import HealthTask
+from gypsumwind.records import RecordsActor
 from gypsumwind.servers import Server
 from gypsumwind.settings import Settings
 from gypsumwind.stores import HttpStore
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -8,7 +8,6 @@
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import permit_future
 from gypsumwind.board import Board, VmLoad
 from gypsumwind.calls import H_DRAINING, Answer, Call
 from gypsumwind.core.admission import Granted, PermitRequest, Reason
@@ -19,6 +18,7 @@
 from gypsumwind.gossip import live_loads
 from gypsumwind.handoffs import HOP_OWNER, Handoffs
 from gypsumwind.metrics import Metrics
+from gypsumwind.permits import permit_future
 from gypsumwind.senders import Outgoing, Sender, Target
 from gypsumwind.settings import Settings
 from gypsumwind.utils import jittered, monotonic, new_id, split_address
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -6,13 +6,13 @@
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import VM_PREFIX, ZONE_PREFIX
 from gypsumwind.board import Board, VmLoad
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.delegates import delegates
 from gypsumwind.core.membership import Endpoint, Member
 from gypsumwind.core.records import ZONES_SCOPE, Record
 from gypsumwind.log import Log
+from gypsumwind.payloads import VM_PREFIX, ZONE_PREFIX
 from gypsumwind.peers import PeerError, Peers
 from gypsumwind.settings import Settings
 from gypsumwind.tasks import Task
--- /dev/null
+++ b/gypsumwind/keys.py
@@ -0,0 +1,56 @@
+"""The actor that owns the memory of idempotency keys."""
+
+from dataclasses import replace
+from typing import Any
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.core.idempotency import KeyTable
+from gypsumwind.utils import wall
+
+
+class HomeActor(pykka.ThreadingActor):
+    """Owns the memory of the idempotency keys whose home is this VM."""
+
+    def __init__(self, home: msg.HomeId, capacity: int, max_bytes: int) -> None:
+        super().__init__()
+        self._keys: KeyTable[msg.StoredOutcome] = KeyTable(capacity)
+        self._homes: set[msg.HomeId] = {home}
+        self._max_bytes = max_bytes
+        self._bytes = 0
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle the messages about keys, and Tick."""
+        match message:
+            case msg.BeginKey():
+                return self._keys.begin(message.key, message.fingerprint, message.expires, wall())
+            case msg.KnowsKey():
+                return message.key in self._keys
+            case msg.FinishKey():
+                self._keys.finish(message.key, self._fitting(message.outcome))
+            case msg.ForgetKey():
+                self._keys.forget(message.key)
+            case msg.StandsFor():
+                return message.home in self._homes
+            case msg.CloseHome():
+                return msg.HomeLegacy(tuple(self._homes), tuple(self._keys.close()))
+            case msg.InheritKeys():
+                self._keys.inherit(message.legacy.entries)
+                self._homes.update(message.legacy.homes)
+            case msg.Tick():
+                self._expire()
+        return None
+
+    def _fitting(self, outcome: msg.StoredOutcome) -> msg.StoredOutcome:
+        """Return the outcome, without its body when the memory for bodies is used up."""
+        size = len(outcome.body or b"")
+        if self._bytes + size > self._max_bytes:
+            return replace(outcome, body=None)
+        self._bytes += size
+        return outcome
+
+    def _expire(self) -> None:
+        self._keys.expire(wall())
+        outcomes = (entry.outcome for entry in self._keys.entries())
+        self._bytes = sum(len(o.body or b"") for o in outcomes if o is not None)
--- a/gypsumwind/legacies.py
+++ b/gypsumwind/legacies.py
@@ -5,7 +5,6 @@
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import heir_key
 from gypsumwind.board import Board
 from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Member
@@ -13,6 +12,7 @@
 from gypsumwind.core.rendezvous import named_vm
 from gypsumwind.gossip import GossipTask
 from gypsumwind.log import Log
+from gypsumwind.payloads import heir_key
 from gypsumwind.peers import PeerError, Peers
 from gypsumwind.settings import Settings
 from gypsumwind.utils import wall
--- /dev/null
+++ b/gypsumwind/members.py
@@ -0,0 +1,70 @@
+"""The actor that owns the membership protocol and sends its datagrams."""
+
+import socket
+from typing import Any
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board, MembersView
+from gypsumwind.core.membership import Envelope, Membership
+from gypsumwind.log import Log
+from gypsumwind.traffic import control
+from gypsumwind.utils import monotonic
+from gypsumwind.wire import datagram_to_bytes
+
+log = Log("members")
+
+
+class MembersActor(pykka.ThreadingActor):
+    """Owns the membership protocol and sends its datagrams."""
+
+    def __init__(self, membership: Membership, sock: socket.socket, board: Board) -> None:
+        super().__init__()
+        self._membership = membership
+        self._sock = sock
+        self._board = board
+        self._published = -1
+
+    def on_receive(self, message: Any) -> None:
+        """Handle Tick, Received, Leave and AddSeeds."""
+        now = monotonic()
+        match message:
+            case msg.Tick():
+                self._send(self._membership.tick(now))
+            case msg.Received():
+                self._send(self._membership.receive(message.message, now))
+            case msg.Leave():
+                self._send(self._membership.leave(message.state))
+            case msg.Resume():
+                self._membership.resume()
+            case msg.AddSeeds():
+                self._membership.add_seeds([m.endpoint for m in message.members])
+        self._publish()
+
+    def _send(self, envelopes: list[Envelope]) -> None:
+        for envelope in envelopes:
+            data = datagram_to_bytes(envelope.message)
+            control.add(len(data))
+            try:
+                self._sock.sendto(data, (envelope.ip, envelope.port))
+            except OSError as exc:
+                log.warning("datagram-not-sent", to=envelope.ip, error=str(exc))
+
+    def _publish(self) -> None:
+        membership = self._membership
+        if membership.version == self._published:
+            return
+        self._log_changes()
+        self._published = membership.version
+        self._board.members = MembersView(
+            membership.me, dict(membership.members), dict(membership.changed_at)
+        )
+
+    def _log_changes(self) -> None:
+        old = self._board.members.members
+        for vm, member in self._membership.members.items():
+            before = old.get(vm)
+            if before is None or before.state is not member.state:
+                was = before.state.name if before else "unknown"
+                log.info("member-state", vm=vm, was=was, now=member.state.name)
--- a/gypsumwind/actors.py
+++ b/gypsumwind/permits.py
@@ -1,16 +1,14 @@
-"""The actors: each owns one part of the state and is reached by messages alone."""
+"""The actor that owns holds, slots, attempts and the fence of a VM."""
 
 import random
-import socket
 from collections.abc import Callable
 from concurrent.futures import Future
-from dataclasses import replace
 from typing import Any
 
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.board import Board, Heir, HoldsView, MembersView, VmLoad, ZoneLoad
+from gypsumwind.board import Board, HoldsView
 from gypsumwind.core.admission import (
     Admission,
     Granted,
@@ -24,242 +22,15 @@
 from gypsumwind.core.choice import CHOICES
 from gypsumwind.core.fence import Fence
 from gypsumwind.core.health import Result
-from gypsumwind.core.idempotency import KeyTable
-from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.core.ownership import ClaimReply, HandoverReply, Hold, Ownership
-from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
-from gypsumwind.core.routes import route_of
-from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
-from gypsumwind.errors import TableError
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
 from gypsumwind.settings import Settings
-from gypsumwind.traffic import control
-from gypsumwind.utils import monotonic, split_address, unpack_json, wall
-from gypsumwind.wire import datagram_to_bytes, headroom_from_wire, thrift, unpack
-
-log = Log("actors")
-
-TABLE_PREFIX = "table/"
-PLACES_KEY = "places"
-VM_PREFIX = "vm/"
-ZONE_PREFIX = "zone/"
-HEIR_PREFIX = "heir/"
-VMLIST_KEY = "vmlist"
-REPORT_WAIT_S = 1.5
-
-
-class MembersActor(pykka.ThreadingActor):
-    """Owns the membership protocol and sends its datagrams."""
-
-    def __init__(self, membership: Membership, sock: socket.socket, board: Board) -> None:
-        super().__init__()
-        self._membership = membership
-        self._sock = sock
-        self._board = board
-        self._published = -1
-
-    def on_receive(self, message: Any) -> None:
-        """Handle Tick, Received, Leave and AddSeeds."""
-        now = monotonic()
-        match message:
-            case msg.Tick():
-                self._send(self._membership.tick(now))
-            case msg.Received():
-                self._send(self._membership.receive(message.message, now))
-            case msg.Leave():
-                self._send(self._membership.leave(message.state))
-            case msg.Resume():
-                self._membership.resume()
-            case msg.AddSeeds():
-                self._membership.add_seeds([m.endpoint for m in message.members])
-        self._publish()
-
-    def _send(self, envelopes: list[Envelope]) -> None:
-        for envelope in envelopes:
-            data = datagram_to_bytes(envelope.message)
-            control.add(len(data))
-            try:
-                self._sock.sendto(data, (envelope.ip, envelope.port))
-            except OSError as exc:
-                log.warning("datagram-not-sent", to=envelope.ip, error=str(exc))
-
-    def _publish(self) -> None:
-        membership = self._membership
-        if membership.version == self._published:
-            return
-        self._log_changes()
-        self._published = membership.version
-        self._board.members = MembersView(
-            membership.me, dict(membership.members), dict(membership.changed_at)
-        )
-
-    def _log_changes(self) -> None:
-        old = self._board.members.members
-        for vm, member in self._membership.members.items():
-            before = old.get(vm)
-            if before is None or before.state is not member.state:
-                was = before.state.name if before else "unknown"
-                log.info("member-state", vm=vm, was=was, now=member.state.name)
+from gypsumwind.utils import monotonic, split_address, wall
 
+REPORT_WAIT_S = 1.5
 
-class RecordsActor(pykka.ThreadingActor):
-    """Owns the versioned records; publishes tables and loads, and spreads new tables."""
-
-    def __init__(
-        self,
-        board: Board,
-        zone: str,
-        region: str,
-        gate: "pykka.ActorRef[GateActor]",
-        spread: Callable[[list[Record]], None],
-    ) -> None:
-        super().__init__()
-        self._records = Records(zone)
-        self._region = region
-        self._board = board
-        self._gate = gate
-        self._spread = spread
-
-    def on_receive(self, message: Any) -> Any:
-        """Handle PutRecords and the questions about records."""
-        match message:
-            case msg.PutRecords():
-                return self._put(message.records)
-            case msg.PublishRecord():
-                self._prune()
-                return self._put((self._next_version(message),))
-            case msg.GetDigests():
-                return {scope: self._records.digest(scope) for scope in self._records.scopes()}
-            case msg.GetVersions():
-                return self._records.versions(message.scope)
-            case msg.GetNewer():
-                return self._records.newer_than(message.scope, message.versions)
-            case msg.GetWanted():
-                return self._records.wanted(message.scope, message.versions)
-            case msg.GetRecords():
-                found = (self._records.get(key) for key in message.keys)
-                return [record for record in found if record is not None]
-        return None
-
-    def _put(self, records: tuple[Record, ...]) -> list[Record]:
-        kept = [r for r in records if self._readable(r) and self._records.put(r)]
-        config = [r for r in kept if is_config(r.key)]
-        for record in kept:
-            self._publish(record)
-        if config:
-            self._publish_routes(config)
-            self._board.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
-            self._spread(config)
-        return kept
-
-    def _publish_routes(self, changed: list[Record]) -> None:
-        """Put the changed tables in force; after a change of the places, all of them."""
-        if any(record.key == PLACES_KEY for record in changed):
-            changed = self._records.with_prefix(TABLE_PREFIX)
-        routes = {}
-        for record in changed:
-            table = table_of(record)
-            routes[table.service] = route_of(table, self._board.places, self._region)
-        self._board.routes = {**self._board.routes, **routes}
-        self._gate.tell(msg.SyncRoutes(tuple(routes.values())))
-
-    def _prune(self) -> None:
-        """Forget who inherited keys that have expired."""
-        for heir in list(self._board.heirs.values()):
-            if heir.expires <= wall():
-                self._records.drop(heir_key(heir.home))
-                heirs = self._board.heirs
-                self._board.heirs = {h: v for h, v in heirs.items() if h != heir.home}
-
-    def _next_version(self, message: msg.PublishRecord) -> Record:
-        known = self._records.get(message.key)
-        version = max(int(wall() * 1000), known.version + 1 if known else 0)
-        return Record(message.key, version, message.scope, message.payload)
-
-    def _readable(self, record: Record) -> bool:
-        try:
-            _decode(record)
-        except (ValueError, TableError) as exc:
-            if record.key.startswith(HEIR_PREFIX):
-                return False
-            log.error("record-unreadable", key=record.key, error=str(exc))
-            return False
-        return True
-
-    def _publish(self, record: Record) -> None:
-        board, value = self._board, _decode(record)
-        if record.key == PLACES_KEY:
-            board.places = value
-            log.info("places-in-force", generation=value.generation)
-        elif record.key.startswith(TABLE_PREFIX):
-            log.info("table-in-force", service=value.service, generation=value.generation)
-        elif record.key.startswith(VM_PREFIX):
-            board.vms = {**board.vms, value.vm: value}
-            self._gate.tell(msg.LearnHolds(value.vm, value.holds))
-        elif record.key.startswith(HEIR_PREFIX):
-            board.heirs = {**board.heirs, value.home: value}
-        elif record.key.startswith(ZONE_PREFIX):
-            board.zones = {**board.zones, value.zone: value}
-        elif record.key == VMLIST_KEY:
-            self._gate.tell(msg.SyncLeaving(frozenset(value)))
-
-
-def table_of(record: Record) -> ServiceTable:
-    """Return the whole table of a table/ record."""
-    return table_from_json(unpack_json(record.payload))
-
-
-def is_config(key: str) -> bool:
-    """Tell whether a record is a table or the places."""
-    return key.startswith(TABLE_PREFIX) or key == PLACES_KEY
-
-
-def heir_key(home: msg.HomeId) -> str:
-    """Return the key of the record that says who inherited a home's keys."""
-    return f"{HEIR_PREFIX}{home[0]}/{home[1]}"
-
-
-def _decode(record: Record) -> Any:
-    """Return the typed value of a record; ValueError or TableError if it is unreadable."""
-    if record.key == PLACES_KEY:
-        return places_from_json(unpack_json(record.payload))
-    if record.key.startswith(TABLE_PREFIX):
-        return table_of(record)
-    if record.key.startswith(VM_PREFIX):
-        return vm_load_from_bytes(record.payload)
-    if record.key.startswith(ZONE_PREFIX):
-        return zone_load_from_bytes(record.payload)
-    if record.key == VMLIST_KEY:
-        return unpack_json(record.payload)
-    if record.key.startswith(HEIR_PREFIX):
-        return heir_from_bytes(record.payload)
-    raise ValueError(f"unknown kind of record: {record.key}")
-
-
-def vm_load_from_bytes(payload: bytes) -> VmLoad:
-    """Read the payload of a vm/ record."""
-    wire = unpack(thrift.VmDigest, payload)
-    holds = tuple(
-        (Hold(h.instance, wire.vm, h.epoch), h.in_flight, h.latest_deadline) for h in wire.holds
-    )
-    headroom = {service: headroom_from_wire(room) for service, room in wire.headroom.items()}
-    return VmLoad(wire.vm, wire.incarnation, wire.leaving, holds, headroom, wire.tables_hash)
-
-
-def zone_load_from_bytes(payload: bytes) -> ZoneLoad:
-    """Read the payload of a zone/ record."""
-    wire = unpack(thrift.ZoneDigest, payload)
-    headroom = {service: headroom_from_wire(room) for service, room in wire.headroom.items()}
-    return ZoneLoad(wire.zone, wire.at, wire.vms, headroom, wire.tables_hash)
-
-
-def heir_from_bytes(payload: bytes) -> Heir:
-    """Read the payload of an heir/ record; ValueError if it has expired."""
-    wire = unpack(thrift.Heir, payload)
-    if wire.expires <= wall():
-        raise ValueError("expired")
-    return Heir((wire.vm, wire.incarnation), wire.heir, wire.expires)
+log = Log("permits")
 
 
 class GateActor(pykka.ThreadingActor):
@@ -536,54 +307,8 @@
         self._settle(self._admission.drain_queue(state.service, now))
 
 
-class HomeActor(pykka.ThreadingActor):
-    """Owns the memory of the idempotency keys whose home is this VM."""
-
-    def __init__(self, home: msg.HomeId, capacity: int, max_bytes: int) -> None:
-        super().__init__()
-        self._keys: KeyTable[msg.StoredOutcome] = KeyTable(capacity)
-        self._homes: set[msg.HomeId] = {home}
-        self._max_bytes = max_bytes
-        self._bytes = 0
-
-    def on_receive(self, message: Any) -> Any:
-        """Handle the messages about keys, and Tick."""
-        match message:
-            case msg.BeginKey():
-                return self._keys.begin(message.key, message.fingerprint, message.expires, wall())
-            case msg.KnowsKey():
-                return message.key in self._keys
-            case msg.FinishKey():
-                self._keys.finish(message.key, self._fitting(message.outcome))
-            case msg.ForgetKey():
-                self._keys.forget(message.key)
-            case msg.StandsFor():
-                return message.home in self._homes
-            case msg.CloseHome():
-                return msg.HomeLegacy(tuple(self._homes), tuple(self._keys.close()))
-            case msg.InheritKeys():
-                self._keys.inherit(message.legacy.entries)
-                self._homes.update(message.legacy.homes)
-            case msg.Tick():
-                self._expire()
-        return None
-
-    def _fitting(self, outcome: msg.StoredOutcome) -> msg.StoredOutcome:
-        """Return the outcome, without its body when the memory for bodies is used up."""
-        size = len(outcome.body or b"")
-        if self._bytes + size > self._max_bytes:
-            return replace(outcome, body=None)
-        self._bytes += size
-        return outcome
-
-    def _expire(self) -> None:
-        self._keys.expire(wall())
-        outcomes = (entry.outcome for entry in self._keys.entries())
-        self._bytes = sum(len(o.body or b"") for o in outcomes if o is not None)
-
-
 def permit_future(
-    gate: "pykka.ActorRef[GateActor]", request: PermitRequest
+    gate: pykka.ActorRef, request: PermitRequest
 ) -> "Future[Granted | Refused]":
     """Ask the gate actor for a slot; the future gets Granted or Refused."""
     fut: Future[Granted | Refused] = Future()
--- /dev/null
+++ b/gypsumwind/records.py
@@ -0,0 +1,130 @@
+"""The actor that owns the versioned records and publishes what is in them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
+from gypsumwind.core.routes import route_of
+from gypsumwind.errors import TableError
+from gypsumwind.log import Log
+from gypsumwind.payloads import (
+    HEIR_PREFIX,
+    PLACES_KEY,
+    TABLE_PREFIX,
+    VM_PREFIX,
+    VMLIST_KEY,
+    ZONE_PREFIX,
+    decode,
+    heir_key,
+    is_config,
+    table_of,
+)
+from gypsumwind.utils import wall
+
+log = Log("records")
+
+
+class RecordsActor(pykka.ThreadingActor):
+    """Owns the versioned records; publishes tables and loads, and spreads new tables."""
+
+    def __init__(
+        self,
+        board: Board,
+        zone: str,
+        region: str,
+        gate: pykka.ActorRef,
+        spread: Callable[[list[Record]], None],
+    ) -> None:
+        super().__init__()
+        self._records = Records(zone)
+        self._region = region
+        self._board = board
+        self._gate = gate
+        self._spread = spread
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle PutRecords and the questions about records."""
+        match message:
+            case msg.PutRecords():
+                return self._put(message.records)
+            case msg.PublishRecord():
+                self._prune()
+                return self._put((self._next_version(message),))
+            case msg.GetDigests():
+                return {scope: self._records.digest(scope) for scope in self._records.scopes()}
+            case msg.GetVersions():
+                return self._records.versions(message.scope)
+            case msg.GetNewer():
+                return self._records.newer_than(message.scope, message.versions)
+            case msg.GetWanted():
+                return self._records.wanted(message.scope, message.versions)
+            case msg.GetRecords():
+                found = (self._records.get(key) for key in message.keys)
+                return [record for record in found if record is not None]
+        return None
+
+    def _put(self, records: tuple[Record, ...]) -> list[Record]:
+        kept = [r for r in records if self._readable(r) and self._records.put(r)]
+        config = [r for r in kept if is_config(r.key)]
+        for record in kept:
+            self._publish(record)
+        if config:
+            self._publish_routes(config)
+            self._board.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
+            self._spread(config)
+        return kept
+
+    def _publish_routes(self, changed: list[Record]) -> None:
+        """Put the changed tables in force; after a change of the places, all of them."""
+        if any(record.key == PLACES_KEY for record in changed):
+            changed = self._records.with_prefix(TABLE_PREFIX)
+        routes = {}
+        for record in changed:
+            table = table_of(record)
+            routes[table.service] = route_of(table, self._board.places, self._region)
+        self._board.routes = {**self._board.routes, **routes}
+        self._gate.tell(msg.SyncRoutes(tuple(routes.values())))
+
+    def _prune(self) -> None:
+        """Forget who inherited keys that have expired."""
+        for heir in list(self._board.heirs.values()):
+            if heir.expires <= wall():
+                self._records.drop(heir_key(heir.home))
+                heirs = self._board.heirs
+                self._board.heirs = {h: v for h, v in heirs.items() if h != heir.home}
+
+    def _next_version(self, message: msg.PublishRecord) -> Record:
+        known = self._records.get(message.key)
+        version = max(int(wall() * 1000), known.version + 1 if known else 0)
+        return Record(message.key, version, message.scope, message.payload)
+
+    def _readable(self, record: Record) -> bool:
+        try:
+            decode(record)
+        except (ValueError, TableError) as exc:
+            if record.key.startswith(HEIR_PREFIX):
+                return False
+            log.error("record-unreadable", key=record.key, error=str(exc))
+            return False
+        return True
+
+    def _publish(self, record: Record) -> None:
+        board, value = self._board, decode(record)
+        if record.key == PLACES_KEY:
+            board.places = value
+            log.info("places-in-force", generation=value.generation)
+        elif record.key.startswith(TABLE_PREFIX):
+            log.info("table-in-force", service=value.service, generation=value.generation)
+        elif record.key.startswith(VM_PREFIX):
+            board.vms = {**board.vms, value.vm: value}
+            self._gate.tell(msg.LearnHolds(value.vm, value.holds))
+        elif record.key.startswith(HEIR_PREFIX):
+            board.heirs = {**board.heirs, value.home: value}
+        elif record.key.startswith(ZONE_PREFIX):
+            board.zones = {**board.zones, value.zone: value}
+        elif record.key == VMLIST_KEY:
+            self._gate.tell(msg.SyncLeaving(frozenset(value)))
--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -5,7 +5,6 @@
 import pykka
 
 from gypsumwind import messages as msg
-from gypsumwind.actors import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY, table_of
 from gypsumwind.board import Board
 from gypsumwind.core.edits import merge_tables
 from gypsumwind.core.records import CONFIG_SCOPE, Record
@@ -19,6 +18,7 @@
 from gypsumwind.errors import StoreError, TableError
 from gypsumwind.gossip import is_delegate
 from gypsumwind.log import Log
+from gypsumwind.payloads import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY, table_of
 from gypsumwind.settings import Settings
 from gypsumwind.stores import Listing, Store, StoredObject
 from gypsumwind.tasks import Task
--- a/tests/standins/ablated.py
+++ b/tests/standins/ablated.py
@@ -6,7 +6,6 @@
 import os
 
 from gypsumwind import __main__ as daemon
-from gypsumwind.actors import GateActor
 from gypsumwind.core.admission import Admission, SlotState
 from gypsumwind.core.fence import Fence
 from gypsumwind.core.idempotency import Begin, KeyTable
@@ -15,6 +14,7 @@
 from gypsumwind.daemon import Daemon
 from gypsumwind.handoffs import Handoffs
 from gypsumwind.homes import _Recorder
+from gypsumwind.permits import GateActor
 
 
 def no_fence():
