--- a/gypsumwind/permits.py
+++ b/gypsumwind/permits.py
@@ -307,9 +307,7 @@
         self._settle(self._admission.drain_queue(state.service, now))
 
 
-def permit_future(
-    gate: pykka.ActorRef, request: PermitRequest
-) -> "Future[Granted | Refused]":
+def permit_future(gate: pykka.ActorRef, request: PermitRequest) -> "Future[Granted | Refused]":
     """Ask the gate actor for a slot; the future gets Granted or Refused."""
     fut: Future[Granted | Refused] = Future()
     gate.tell(msg.RequestPermit(request, fut))
