Tests start once every VM sees the headroom of every zone

Cause: test_weights_spread failed in 2 of 4 runs: right after the start an origin had digests of other zones from before their instances had reported, so they showed no free slot and the first 80 requests all went to its own zone. Ruled out: the weights: the same requests a second later spread over all four zones. Change: the fleet counts as started when every VM sees free slots in every zone.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -235,9 +235,11 @@
         return self
 
     def has_room(self):
-        """Tell whether every zone with VMs has free slots of every service."""
-        pages = [vm.status() for vm in self.vms.values() if vm.running]
-        rooms = [page["zones"][page["zone"]]["headroom"] for page in pages]
+        """Tell whether every VM sees free slots of every service in every zone with VMs."""
+        running = [vm for vm in self.vms.values() if vm.running]
+        zones = {vm.zone for vm in running}
+        pages = [vm.status() for vm in running]
+        rooms = [page["zones"][zone]["headroom"] for page in pages for zone in zones]
         return all(
             room.get(name, {"free_high": 0})["free_high"] > 0
             for room in rooms
