--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -19,7 +19,6 @@
 H_KEY = "idempotency-key"
 H_ATTEMPT = "gypsumwind-attempt"
 H_HOP = "gypsumwind-hop"
-H_WAIT = "gypsumwind-wait"
 H_ORIGIN_REGION = "gypsumwind-origin-region"
 H_VERDICT = "gypsumwind-verdict"
 H_CODE = "gypsumwind-code"
@@ -43,7 +42,7 @@
     )
 )
 OWN_HEADERS = frozenset(
-    (H_WAIT, H_TIMEOUT, H_DEADLINE, H_ATTEMPT, H_HOP, H_ORIGIN_REGION, H_CLASS, H_TENANT)
+    (H_TIMEOUT, H_DEADLINE, H_ATTEMPT, H_HOP, H_ORIGIN_REGION, H_CLASS, H_TENANT)
 )
 
 
@@ -134,7 +133,6 @@
     key: str = ""
     attempt: str = ""
     exclude: frozenset[str] = frozenset()
-    waits: bool = True
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline; RequestError once it has passed."""
@@ -156,7 +154,6 @@
         headers[H_ATTEMPT] = self.attempt
         headers[H_ORIGIN_REGION] = self.origin_region
         headers[H_HOP] = hop
-        headers[H_WAIT] = "1" if self.waits else "0"
         if self.key:
             headers[H_KEY] = self.key
         return headers
--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -38,10 +38,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PermitRequest:
-    """A request for a slot; `deadline` is on the clock of the VM's process.
-
-    One that does not wait is refused when no slot is free, and never queued.
-    """
+    """A request for a slot; `deadline` is on the clock of the VM's process."""
 
     attempt: str
     service: str
@@ -49,7 +46,6 @@
     foreign: bool
     deadline: float
     exclude: frozenset[str] = frozenset()
-    waits: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -280,10 +276,7 @@
         owned = self._owned_states(req.service)
         if not any(s.health.serving(now) for s in owned):
             return self.refuse(req, Reason.NO_INSTANCE)
-        granted = self._try_grant(req, now)
-        if granted is None and not req.waits:
-            return self.refuse(req, Reason.FULL)
-        return granted
+        return self._try_grant(req, now)
 
     def enqueue(self, req: PermitRequest, now: float) -> tuple[bool, Outcome]:
         """Queue a request that found no slot; tell whether it waits, and who was displaced."""
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -63,8 +63,6 @@
             except RequestError as exc:
                 if exc.verdict is not Verdict.NOT_RUN or not call.body.replayable:
                     raise
-                if call.waits and exc.code is Code.NO_CAPACITY:
-                    raise
                 last = exc
         raise last
 
@@ -122,7 +120,6 @@
             foreign=self._foreign(call),
             deadline=call.deadline,
             exclude=call.exclude,
-            waits=call.waits,
         )
         fut = permit_future(self._gate, request)
         try:
@@ -136,8 +133,7 @@
 
     def _no_capacity(self, reason: Reason, retry_after_s: float | None = None) -> RequestError:
         wait = retry_after_s or jittered(RETRY_AFTER_S, self._rng)
-        code = Code.NO_OWNER if reason is Reason.NO_INSTANCE else Code.NO_CAPACITY
-        return RequestError(code, reason.value, Verdict.NOT_RUN, 503, wait)
+        return RequestError(Code.NO_CAPACITY, reason.value, Verdict.NOT_RUN, 503, wait)
 
     def _send(self, call: Call, permit: Granted) -> Answer:
         """Send to the instance; the slot goes back when the answer has ended."""
--- a/gypsumwind/origins.py
+++ b/gypsumwind/origins.py
@@ -1,7 +1,6 @@
 """The origin: chooses a zone by weight, headroom and reach, and retries what may be retried."""
 
 import random
-from collections.abc import Iterator
 from dataclasses import replace
 
 from gypsumwind.board import Board
@@ -57,39 +56,21 @@
             503,
             jittered(RETRY_AFTER_S, self._rng),
         )
-        unfit: set[str] = set()
-        for zone, waits in self._tries(zones, unfit):
+        for zone in zones[:MAX_ATTEMPTS]:
             try:
-                answer = self._attempt(zone, replace(call, attempt=new_id(), waits=waits))
+                answer = self._attempt(zone, call.with_attempt(new_id()))
             except RequestError as exc:
                 last = exc
                 if exc.verdict is not Verdict.NOT_RUN:
                     doubtful = exc
                 if not self._may_retry(route, call, exc):
                     break
-                if exc.code is not Code.NO_CAPACITY:
-                    unfit.add(zone)
-                elif waits:
-                    break
                 self._metrics.event("retry")
                 continue
             self._budget.success()
             return answer
         raise self._final(doubtful, last)
 
-    def _tries(self, zones: list[ZoneOption], unfit: set[str]) -> Iterator[tuple[str, bool]]:
-        """Yield zones to try and whether to wait there for a slot.
-
-        First those that show a free slot, without waiting; then the queue of a zone that has
-        not failed, so that what cannot be served is refused after a single wait.
-        """
-        free = [option.zone for option in zones if option.free > 0]
-        for zone in free[:MAX_ATTEMPTS]:
-            yield zone, False
-        for option in zones[:MAX_ATTEMPTS]:
-            if option.zone not in unfit:
-                yield option.zone, True
-
     def _final(self, doubtful: RequestError | None, last: RequestError) -> RequestError:
         """An earlier attempt that may have run taints the verdict of the whole request."""
         if doubtful is None or last.verdict is not Verdict.NOT_RUN:
@@ -117,14 +98,14 @@
         repeatable = call.method in route.row(self._cfg.region).repeatable
         return repeatable and exc.code is not Code.BAD_REQUEST and self._budget.take()
 
-    def _zones(self, route: ServiceRoute, call: Call) -> list[ZoneOption]:
+    def _zones(self, route: ServiceRoute, call: Call) -> list[str]:
         now = wall()
         options = [
             option
             for zone, region in self._board.places.zones.items()
             if (option := self._option(route, call, zone, region, now)) is not None
         ]
-        return order_zones(options, call.remaining_s(), self._rng)
+        return [option.zone for option in order_zones(options, call.remaining_s(), self._rng)]
 
     def _option(
         self, route: ServiceRoute, call: Call, zone: str, region: str, now: float
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -18,7 +18,6 @@
     H_ORIGIN_REGION,
     H_TENANT,
     H_TIMEOUT,
-    H_WAIT,
     Answer,
     Call,
     forwarded,
@@ -80,7 +79,6 @@
         origin_region=headers.get(H_ORIGIN_REGION, cfg.region),
         key=headers.get(H_KEY, "").strip('"'),
         attempt=headers.get(H_ATTEMPT, ""),
-        waits=headers.get(H_WAIT, "1") != "0",
     )
 
 
