--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -187,11 +187,6 @@
         self.close()
 
 
-def header(headers: Mapping[str, str], name: str, default: str = "") -> str:
-    """Return a header by its lower-case name."""
-    return headers.get(name, default)
-
-
 def forwarded(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
     """Return the headers that go on to an upstream or to another VM."""
     dropped = HOP_BY_HOP | OWN_HEADERS
--- a/gypsumwind/core/membership.py
+++ b/gypsumwind/core/membership.py
@@ -141,13 +141,6 @@
         """Return what is known of a VM, this one included."""
         return self.me if vm == self.me.vm else self.members.get(vm)
 
-    def silent_for(self, vm: str, now: float) -> float:
-        """Return the seconds since a VM was found suspect or worse; 0 when it is not."""
-        member = self.members.get(vm)
-        if member is None or member.state < State.SUSPECT:
-            return 0.0
-        return now - self.changed_at.get(vm, now)
-
     def leave(self, state: State) -> list[Envelope]:
         """Announce that this VM is leaving or has left, at once, to a few members."""
         self.me = replace(self.me, state=state)
@@ -163,11 +156,6 @@
         self.version += 1
         self._transmissions[self.me.vm] = TRANSMISSIONS_PER_UPDATE
 
-    def add_seeds(self, seeds: list[Endpoint]) -> None:
-        """Take further addresses to probe, from the platform's list of VMs."""
-        known = {_place(s) for s in self._seeds} | {_place(self.me.endpoint)}
-        self._seeds.extend(s for s in seeds if _place(s) not in known)
-
     def tick(self, now: float) -> list[Envelope]:
         """Advance the timers and probe the next member when its time has come."""
         sends = self._expire(now)
--- a/gypsumwind/members.py
+++ b/gypsumwind/members.py
@@ -27,7 +27,7 @@
         self._published = -1
 
     def on_receive(self, message: Any) -> None:
-        """Handle Tick, Received, Leave and AddSeeds."""
+        """Handle Tick, Received, Leave and Resume."""
         now = monotonic()
         match message:
             case msg.Tick():
@@ -38,8 +38,6 @@
                 self._send(self._membership.leave(message.state))
             case msg.Resume():
                 self._membership.resume()
-            case msg.AddSeeds():
-                self._membership.add_seeds([m.endpoint for m in message.members])
         self._publish()
 
     def _send(self, envelopes: list[Envelope]) -> None:
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -9,7 +9,7 @@
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyEntry
-from gypsumwind.core.membership import Ack, Member, Probe, State
+from gypsumwind.core.membership import Ack, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.routes import ServiceRoute
@@ -46,13 +46,6 @@
     """To the members actor: this VM is no longer leaving."""
 
 
-@dataclass(slots=True, frozen=True)
-class AddSeeds:
-    """To the members actor: further members to probe, from the platform's list of VMs."""
-
-    members: tuple[Member, ...]
-
-
 @dataclass(slots=True, frozen=True)
 class PutRecords:
     """To the records actor: keep those that are newer; answers with the ones kept."""
