Sharpen the proof that a silent owner's requests count

Cause: without the mechanism test_takeover_while_requests_of_the_frozen_owner_still_run failed in 1 of 3 and then in 0 of 3 runs: its slow requests were few and had mostly ended when the takeover came. Change: the test first fills the frozen VM's instance with requests of 15 s and then loads the rest; the check is the same.

--- a/tests/integration/test_limits.py
+++ b/tests/integration/test_limits.py
@@ -76,16 +76,19 @@
 def test_takeover_while_requests_of_the_frozen_owner_still_run(fleet):
     """What the frozen VM left running counts against the slots of the new owner."""
     victim = fleet.vms["accra-a-1"]
-    long = {"headers": {"Gypsumwind-Timeout-Ms": "12000"}}
-    slow = Load(fleet, "lookup", "/slow?ms=9000", callers=5, zones=["accra-a"], **long)
-    with slow, load(fleet):
-        time.sleep(1.5)
-        victim.freeze()
-        until(lambda: len(fleet.vms["accra-a-2"].status()["holds"]) == 2, text="takeover")
-        time.sleep(2)
-        victim.thaw()
-        until(fleet.settled, text="hold handed back")
+    names = list(victim.status()["holds"])
+    long = {"headers": {"Gypsumwind-Timeout-Ms": "19000"}}
+    slow = Load(fleet, "lookup", "/slow?ms=15000", callers=9, zones=["accra-a"], **long)
+    with slow:
+        until(lambda: any(fleet.log.in_flight.get(name, 0) >= 2 for name in names))
         slow.ended.set()
+        with load(fleet):
+            time.sleep(0.5)
+            victim.freeze()
+            until(lambda: len(fleet.vms["accra-a-2"].status()["holds"]) == 2, text="takeover")
+            time.sleep(3)
+            victim.thaw()
+            until(fleet.settled, text="hold handed back")
     check_limits(fleet)
 
 
