One piece of code for what may be said before a key's home was asked

Cause: CallerPages had the same method twice, for a call and for an exchange, and the key was read from its header in two places. Change: _early takes the key; _key reads the header. Behaviour unchanged.

--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -77,11 +77,15 @@
         tenant=headers.get(H_TENANT, DEFAULT_TENANT),
         deadline=_deadline(cfg, headers),
         origin_region=headers.get(H_ORIGIN_REGION, cfg.region),
-        key=headers.get(H_KEY, "").strip('"'),
+        key=_key(ex),
         attempt=headers.get(H_ATTEMPT, ""),
     )
 
 
+def _key(ex: Exchange) -> str:
+    return ex.headers.get(H_KEY, "").strip('"')
+
+
 def _priority(text: str) -> Priority:
     try:
         return Priority[text.upper()]
@@ -160,7 +164,7 @@
 
     def _serve(self, ex: Exchange, service: str, path: str) -> tuple[Verdict, str]:
         if not self.in_flight.enter():
-            return self._send_error(ex, self._early(ex, self._busy()))
+            return self._send_error(ex, self._early(_key(ex), self._busy()))
         try:
             return self._serve_watched(ex, service, path)
         except RequestError as exc:
@@ -186,9 +190,8 @@
     def _route(self, call: Call) -> Answer:
         if not self._parts.ready():
             text = "this VM has not read the table yet"
-            raise self._early_call(
-                call, RequestError(Code.TABLE_NOT_READY, text, Verdict.NOT_RUN, 503, 1.0)
-            )
+            exc = RequestError(Code.TABLE_NOT_READY, text, Verdict.NOT_RUN, 503, 1.0)
+            raise self._early(call.key, exc)
         if call.key and self._needs_home(call):
             return self._parts.home.serve(call)
         return self._parts.origin.route(call)
@@ -197,17 +200,12 @@
         route = self._parts.board.routes.get(call.service)
         return route is not None and call.method not in route.row(self._cfg.region).repeatable
 
-    def _early(self, ex: Exchange, exc: RequestError) -> RequestError:
-        key = ex.headers.get(H_KEY, "").strip('"')
+    def _early(self, key: str, exc: RequestError) -> RequestError:
+        """Return an error that comes before a key's home was asked, with what may be said."""
         if key:
             exc.verdict = self._parts.home.early_verdict(key)
         return exc
 
-    def _early_call(self, call: Call, exc: RequestError) -> RequestError:
-        if call.key:
-            exc.verdict = self._parts.home.early_verdict(call.key)
-        return exc
-
     def _busy(self) -> RequestError:
         wait = jittered(BUSY_RETRY_S, self._rng)
         text = "too many requests are in flight at this VM"
