--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -7,7 +7,9 @@
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.routes import ServiceRoute
+from gypsumwind.core.rules import Ruleset
 from gypsumwind.core.table import Places
+from gypsumwind.core.upstreams import UpstreamList
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,7 +91,7 @@
 
 
 class Board:
-    """The latest snapshots: members, routes, places, loads, holds, and the fence."""
+    """The latest snapshots; rules, upstreams and closed zones are those of the direct way."""
 
     __slots__ = (
         "members",
@@ -102,6 +104,9 @@
         "holds",
         "fence_until",
         "leaving",
+        "rules",
+        "upstreams",
+        "closed_zones",
     )
 
     def __init__(self, me: Member) -> None:
@@ -115,3 +120,6 @@
         self.holds = HoldsView()
         self.fence_until = 0.0
         self.leaving = False
+        self.rules: Ruleset | None = None
+        self.upstreams = UpstreamList()
+        self.closed_zones: frozenset[str] = frozenset()
--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -57,19 +57,36 @@
 class Body:
     """A request body: a small one is kept for replay, a large one is read once."""
 
-    __slots__ = ("length", "_reader", "_kept", "_started")
+    __slots__ = ("length", "_reader", "_kept", "_started", "_begun")
 
     def __init__(self, reader: Reader, length: int | None) -> None:
         self.length = length
         self._reader = reader
         self._kept: bytes | None = None
         self._started = False
+        self._begun: list[bytes] = []
 
-    def keep_small(self) -> None:
+    def keep_small(self, max_bytes: int = REPLAY_BYTES) -> None:
         """Read a body of a known small length, so that it can be sent again."""
-        if self.length is not None and self.length <= REPLAY_BYTES:
+        if self.length is not None and self.length <= max_bytes:
             self._kept = self._read_exactly(self.length)
 
+    def keep_chunked(self, max_bytes: int) -> None:
+        """Read a body of unknown length up to `max_bytes`; a whole one can be sent again."""
+        if self.length is not None:
+            return
+        parts: list[bytes] = []
+        size = 0
+        while size <= max_bytes:
+            chunk = self._read(CHUNK_BYTES)
+            if not chunk:
+                self._kept = b"".join(parts)
+                self.length = size
+                return
+            parts.append(chunk)
+            size += len(chunk)
+        self._begun = parts
+
     @property
     def replayable(self) -> bool:
         """Tell whether the body can be sent (again)."""
@@ -87,6 +104,8 @@
                 yield self._kept
             return
         self._started = True
+        yield from self._begun
+        self._begun = []
         left = self.length
         while left is None or left > 0:
             size = CHUNK_BYTES if left is None else min(CHUNK_BYTES, left)
--- /dev/null
+++ b/gypsumwind/connections.py
@@ -0,0 +1,102 @@
+"""Kept connections from a VM to upstream instances, one request at a time on each."""
+
+import socket
+import threading
+
+from urllib3.util import wait_for_read
+
+from gypsumwind.hangups import TrackedConnection
+from gypsumwind.utils import monotonic
+
+DEFAULT_KEEP_S = 4.0
+"""Time that an instance is taken to keep an idle connection if it does not say."""
+
+REUSE_SHARE = 0.6
+"""Part of that time up to which an idle connection is used again for what may be repeated."""
+
+CERTAIN_SHARE = 0.3
+"""The same for what must not be repeated: a close that crosses the request would be doubtful."""
+
+MAX_IDLE = 16
+"""Idle connections kept to one instance; above it they are closed."""
+
+SILENCE_MS = 2500
+"""Time without an acknowledgement after which a connection ends, in milliseconds."""
+
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
+]
+
+
+class _Idle:
+    __slots__ = ("conn", "since", "keep_s")
+
+    def __init__(self, conn: TrackedConnection, since: float, keep_s: float) -> None:
+        self.conn = conn
+        self.since = since
+        self.keep_s = keep_s
+
+
+class Connections:
+    """Idle connections by address, the last used first."""
+
+    def __init__(self, ip: str) -> None:
+        self._ip = ip
+        self._idle: dict[tuple[str, int], list[_Idle]] = {}
+        self._lock = threading.Lock()
+
+    def lease(self, ip: str, port: int, certain: bool) -> tuple[TrackedConnection, bool]:
+        """Return a connection and whether it is a kept one; a new one is not connected yet.
+
+        With `certain`, only a connection that its instance can hardly be closing just now.
+        """
+        share = CERTAIN_SHARE if certain else REUSE_SHARE
+        while (idle := self._pop(ip, port)) is not None:
+            fresh = monotonic() - idle.since < idle.keep_s * share
+            if fresh and idle.conn.sock is not None and not _readable(idle.conn.sock):
+                return idle.conn, True
+            idle.conn.close()
+        return (
+            TrackedConnection(
+                ip, port, source_address=(self._ip, 0), socket_options=SOCKET_OPTIONS
+            ),
+            False,
+        )
+
+    def give_back(self, conn: TrackedConnection, keep_s: float | None) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        idle = _Idle(conn, monotonic(), DEFAULT_KEEP_S if keep_s is None else keep_s)
+        with self._lock:
+            kept = self._idle.setdefault((conn.host, conn.port or 0), [])
+            kept.append(idle)
+            surplus = kept[:-MAX_IDLE]
+            del kept[:-MAX_IDLE]
+        for old in surplus:
+            old.conn.close()
+
+    def sweep(self) -> None:
+        """Close the connections that are too old to be used again."""
+        now = monotonic()
+        stale: list[_Idle] = []
+        with self._lock:
+            for place, kept in list(self._idle.items()):
+                stale += [i for i in kept if now - i.since >= i.keep_s * REUSE_SHARE]
+                kept[:] = [i for i in kept if now - i.since < i.keep_s * REUSE_SHARE]
+                if not kept:
+                    del self._idle[place]
+        for idle in stale:
+            idle.conn.close()
+
+    def _pop(self, ip: str, port: int) -> _Idle | None:
+        with self._lock:
+            kept = self._idle.get((ip, port))
+            return kept.pop() if kept else None
+
+
+def _readable(sock: socket.socket) -> bool:
+    """Tell whether an idle connection has been closed or has bytes that nobody asked for."""
+    try:
+        return wait_for_read(sock, timeout=0.0)
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/gypsumwind/core/dispatch.py
@@ -0,0 +1,430 @@
+"""Placing of requests on upstream instances straight from the VM that a caller chose.
+
+No VM owns an instance here, so its room is estimated: what it last said of its load, plus this
+VM's own sends since. A sticky request goes to the home of its key, which all VMs derive alike; it
+leaves it for lack of room, for the next home in order. What finds no room waits here, by priority
+and arrival, and is refused as soon as it cannot be served in time.
+
+Answers to load: the room left at each instance, and the wait for it.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from gypsumwind.core.rendezvous import rank
+from gypsumwind.core.rules import ServicePolicy
+from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.warmup import SPACING_S, senders
+
+SPILL_SHARE = 0.8
+"""Part of an instance's slots up to which it is filled in the order of homes (measured trials)."""
+
+FULL_SHARE = 1.25
+"""Part of an instance's slots beyond which nothing more is sent; some wait there, none bounce."""
+
+LOAD_DECAY_S = 0.5
+"""Age at which a report of an instance's load counts for a third against its mean."""
+
+MEAN_WEIGHT = 0.1
+"""Weight of one report in the mean load by other VMs."""
+
+WORK_WEIGHT = 0.05
+"""Weight of one answer in the mean time of a service."""
+
+FIRST_WORK_S = 0.5
+"""Time that a request is taken to need before any answer was seen, in seconds."""
+
+FAILURE_WEIGHT = 0.25
+"""Weight of one result in an instance's share of failures."""
+
+EJECT_ABOVE = 0.55
+"""Share of failures above which an instance is left out: three in a row, from none."""
+
+EJECT_S = 1.0
+MAX_EJECT_S = 8.0
+"""First and longest time for which an instance is left out; doubled while its trials fail."""
+
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 5.0
+"""Bounds of what a refused caller is told to wait, in seconds."""
+
+MAX_WAITING = 400
+"""Requests that wait here at most; beyond it they are refused at once."""
+
+
+@dataclass(slots=True, frozen=True)
+class Wanted:
+    """A request to be placed; `deadline` is the latest useful answer on the VM's clock."""
+
+    ticket: int
+    service: str
+    key: str
+    priority: int
+    deadline: float
+    regions: frozenset[str] = frozenset()
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class Placed:
+    """Send the request to this instance; the values after it say why."""
+
+    upstream: Upstream
+    load: float
+    load_age_s: float
+    home: bool
+    waited_s: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """The request cannot be served in time; it may come back after `retry_after_s`."""
+
+    reason: str
+    retry_after_s: float
+    waited_s: float = 0.0
+
+
+Decision = Placed | Refused
+
+
+class Outcome:
+    """How a send ended, as evidence about the instance."""
+
+    OK = "ok"
+    FAILED = "failed"
+    SHED = "shed"
+    CUT = "cut"
+    UNREACHABLE = "unreachable"
+    MISDIRECTED = "misdirected"
+    LATE = "late"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, frozen=True)
+class ReportedLoad:
+    """What an instance says of itself: requests that run and wait, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Lane:
+    """What this VM knows of one instance."""
+
+    __slots__ = (
+        "upstream",
+        "region",
+        "own",
+        "others",
+        "mean_others",
+        "heard_at",
+        "failures",
+        "ejected_until",
+        "eject_s",
+        "cold_until",
+        "cold_next",
+        "leaving",
+    )
+
+    def __init__(self, upstream: Upstream, region: str) -> None:
+        self.upstream = upstream
+        self.region = region
+        self.own = 0
+        self.others = 0.0
+        self.mean_others = 0.0
+        self.heard_at = -math.inf
+        self.failures = 0.0
+        self.ejected_until = -math.inf
+        self.eject_s = EJECT_S
+        self.cold_until = -math.inf
+        self.cold_next = -math.inf
+        self.leaving = False
+
+    def load(self, now: float) -> float:
+        """Return the requests that the instance is taken to have: own ones and other VMs'."""
+        fresh = math.exp(-max(0.0, now - self.heard_at) / LOAD_DECAY_S)
+        return self.own + self.mean_others + (self.others - self.mean_others) * fresh
+
+    def share(self, now: float) -> float:
+        """Return the load as a part of the slots."""
+        return self.load(now) / max(1, self.upstream.slots)
+
+    def hear(self, report: ReportedLoad, now: float) -> None:
+        """Take in what the instance said of its load."""
+        self.others = max(0.0, report.running + report.waiting - self.own)
+        self.mean_others += MEAN_WEIGHT * (self.others - self.mean_others)
+        self.heard_at = now
+
+    def observe(self, outcome: str, now: float) -> None:
+        """Take in how a send ended."""
+        if outcome in (Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE):
+            return
+        bad = outcome != Outcome.OK
+        self.failures += FAILURE_WEIGHT * (bad - self.failures)
+        if not bad and self.failures < EJECT_ABOVE / 2:
+            self.eject_s = EJECT_S
+        if outcome == Outcome.UNREACHABLE or self.failures > EJECT_ABOVE:
+            self.eject(now)
+
+    def eject(self, now: float) -> None:
+        """Leave the instance out for a while; a trial follows."""
+        if now < self.ejected_until:
+            return
+        self.ejected_until = now + self.eject_s
+        self.eject_s = min(MAX_EJECT_S, 2 * self.eject_s)
+        self.failures = EJECT_ABOVE
+
+
+@dataclass(slots=True)
+class _Waiting:
+    wanted: Wanted
+    since: float
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """Mean time of a service's requests, and those that wait for room."""
+
+    work_s: float = FIRST_WORK_S
+    waiting: list[_Waiting] = field(default_factory=list)
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """The VMs that send, this one included, and the bound on requests to cold instances."""
+
+    vm: str
+    vms: tuple[str, ...]
+    overshoot: float
+    slack_per_s: float
+
+
+class Dispatcher:
+    """Places requests, keeps those that wait, and learns from results."""
+
+    def __init__(
+        self, region: str, regions: Mapping[str, str], fleet: Fleet, rng: random.Random
+    ) -> None:
+        self._region = region
+        self._regions = regions
+        self._rng = rng
+        self.fleet = fleet
+        self.policies: Mapping[str, ServicePolicy] = {}
+        self.closed_zones: frozenset[str] = frozenset()
+        self._lanes: dict[str, Lane] = {}
+        self._services: dict[str, _ServiceState] = {}
+        self._senders: dict[str, list[str]] = {}
+
+    @property
+    def lanes(self) -> Mapping[str, Lane]:
+        """Return what is known of each instance, by id."""
+        return self._lanes
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Take in which VMs there are."""
+        self.fleet = fleet
+        self._senders.clear()
+
+    def set_upstreams(self, found: Iterable[Upstream], now: float, epoch: float) -> None:
+        """Take in the list of instances; `epoch` is the same moment by the time of day."""
+        lanes = {}
+        for up in found:
+            lane = self._lanes.get(up.id)
+            if lane is None or lane.upstream.incarnation != up.incarnation:
+                lane = Lane(up, self._regions.get(up.zone, ""))
+            lane.upstream = up
+            lane.leaving = up.draining
+            if up.cold_until > epoch:
+                lane.cold_until = max(lane.cold_until, now + up.cold_until - epoch)
+            lanes[up.id] = lane
+        self._lanes = lanes
+
+    def set_closed_zones(self, zones: frozenset[str], now: float) -> None:
+        """Take in the zones that get nothing; those taken back are taken to be cold."""
+        for lane in self._lanes.values():
+            if lane.upstream.zone in self.closed_zones - zones:
+                self._suspect_cold(lane, now)
+        self.closed_zones = zones
+
+    def knows_upstreams(self) -> bool:
+        """Tell whether any instance is known."""
+        return bool(self._lanes)
+
+    def place(self, wanted: Wanted, now: float) -> Decision | None:
+        """Return where a request goes, a refusal, or None: it waits for room."""
+        state = self._state(wanted.service)
+        if not state.waiting or self._first(state, wanted):
+            placed = self._choose(wanted, now)
+            if placed is not None:
+                return placed
+        return self._wait(state, wanted, now)
+
+    def finish(
+        self,
+        upstream: Upstream,
+        outcome: str,
+        report: ReportedLoad | None,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take in the end of a send: its outcome, the load that the answer told, its time."""
+        lane = self._lanes.get(upstream.id)
+        if lane is None or lane.upstream.incarnation != upstream.incarnation:
+            return
+        lane.own = max(0, lane.own - 1)
+        if report is not None:
+            lane.hear(report, now)
+        lane.observe(outcome, now)
+        if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
+            self._suspect_cold(lane, now)
+        if outcome == Outcome.OK:
+            state = self._state(upstream.service)
+            state.work_s += WORK_WEIGHT * (seconds - state.work_s)
+
+    def set_leaving(self, upstream: Upstream) -> None:
+        """An answer told that the instance is leaving."""
+        lane = self._lanes.get(upstream.id)
+        if lane is not None and lane.upstream.incarnation == upstream.incarnation:
+            lane.leaving = True
+
+    def cancel(self, ticket: int) -> None:
+        """Forget a request that waits."""
+        for state in self._services.values():
+            state.waiting = [w for w in state.waiting if w.wanted.ticket != ticket]
+
+    def drain(self, now: float) -> list[tuple[int, Decision]]:
+        """Place those that wait and find room now; refuse those that are too late."""
+        decisions: list[tuple[int, Decision]] = []
+        for state in self._services.values():
+            if state.waiting:
+                decisions.extend(self._drain_service(state, now))
+        return decisions
+
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(state.waiting) for state in self._services.values())
+
+    def _drain_service(self, state: _ServiceState, now: float) -> list[tuple[int, Decision]]:
+        decisions: list[tuple[int, Decision]] = []
+        kept: list[_Waiting] = []
+        for entry in state.waiting:
+            placed = self._choose(entry.wanted, now)
+            waited = now - entry.since
+            if placed is not None:
+                decisions.append(
+                    (
+                        entry.wanted.ticket,
+                        Placed(
+                            placed.upstream, placed.load, placed.load_age_s, placed.home, waited
+                        ),
+                    )
+                )
+            elif now + state.work_s >= entry.wanted.deadline:
+                refused = Refused("no-room-in-time", self._retry_s(state, now), waited)
+                decisions.append((entry.wanted.ticket, refused))
+            else:
+                kept.append(entry)
+        state.waiting = kept
+        return decisions
+
+    def _wait(self, state: _ServiceState, wanted: Wanted, now: float) -> Refused | None:
+        slots = self._slots(wanted, now)
+        if not slots:
+            return Refused("no-upstream", self._retry_s(state, now))
+        ahead = sum(1 for w in state.waiting if w.wanted.priority <= wanted.priority)
+        share = slots / max(1, len(self.fleet.vms))
+        wait_s = (ahead + 1) * state.work_s / max(share, 1.0)
+        if now + wait_s + state.work_s >= wanted.deadline or self.waiting() >= MAX_WAITING:
+            return Refused("queue-too-long", self._retry_s(state, now))
+        place = next(
+            (i for i, w in enumerate(state.waiting) if w.wanted.priority > wanted.priority),
+            len(state.waiting),
+        )
+        state.waiting.insert(place, _Waiting(wanted, now))
+        return None
+
+    def _first(self, state: _ServiceState, wanted: Wanted) -> bool:
+        return all(w.wanted.priority > wanted.priority for w in state.waiting)
+
+    def _slots(self, wanted: Wanted, now: float) -> int:
+        return sum(lane.upstream.slots for lane in self._open(wanted, now))
+
+    def _retry_s(self, state: _ServiceState, now: float) -> float:
+        """Return when to come back: once those that wait here have gone, spread over as long."""
+        wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, state.work_s))
+        return wait_s * (0.5 + self._rng.random())
+
+    def _open(self, wanted: Wanted, now: float) -> list[Lane]:
+        """Return the instances that may get the request now, whatever their load."""
+        lanes = [lane for lane in self._lanes.values() if self._allowed(lane, wanted)]
+        healthy = [lane for lane in lanes if now >= lane.ejected_until]
+        return [lane for lane in healthy or lanes if self._warm_enough(lane, now)]
+
+    def _allowed(self, lane: Lane, wanted: Wanted) -> bool:
+        up = lane.upstream
+        return (
+            up.service == wanted.service
+            and not lane.leaving
+            and up.zone not in self.closed_zones
+            and up.id not in wanted.exclude
+            and (not wanted.regions or lane.region in wanted.regions)
+        )
+
+    def _warm_enough(self, lane: Lane, now: float) -> bool:
+        """Tell whether the instance is warm, or cold and this VM's turn has come."""
+        if now >= lane.cold_until:
+            return True
+        if now < lane.cold_next:
+            return False
+        return self.fleet.vm in self._named(lane)
+
+    def _named(self, lane: Lane) -> list[str]:
+        found = self._senders.get(lane.upstream.id)
+        if found is None:
+            policy = self.policies.get(lane.upstream.service)
+            rate = policy.cold_per_s if policy else 0.0
+            bound = rate * self.fleet.overshoot + self.fleet.slack_per_s
+            found = self._senders[lane.upstream.id] = senders(
+                lane.upstream.id, self.fleet.vms, bound
+            )
+        return found
+
+    def _suspect_cold(self, lane: Lane, now: float) -> None:
+        policy = self.policies.get(lane.upstream.service)
+        if policy is not None:
+            lane.cold_until = max(lane.cold_until, now + policy.cold_start_s)
+
+    def _choose(self, wanted: Wanted, now: float) -> Placed | None:
+        lanes = self._open(wanted, now)
+        if wanted.key:
+            order = sorted(
+                lanes,
+                key=lambda la: (la.region == self._region, rank(wanted.key, la.upstream.id)),
+                reverse=True,
+            )
+        else:
+            order = sorted(lanes, key=lambda la: (la.region != self._region, la.share(now)))
+        for place, lane in enumerate(order):
+            if lane.share(now) < SPILL_SHARE:
+                return self._grant(lane, now, place == 0)
+        open_lanes = [lane for lane in order if lane.share(now) < FULL_SHARE]
+        if not open_lanes:
+            return None
+        return self._grant(min(open_lanes, key=lambda la: la.share(now)), now, False)
+
+    def _grant(self, lane: Lane, now: float, home: bool) -> Placed:
+        load = lane.load(now)
+        lane.own += 1
+        if now < lane.cold_until:
+            lane.cold_next = now + SPACING_S
+        return Placed(lane.upstream, round(load, 2), round(now - lane.heard_at, 3), home)
+
+    def _state(self, service: str) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceState()
+        return state
--- /dev/null
+++ b/gypsumwind/core/upstreams.py
@@ -0,0 +1,49 @@
+"""Upstream instances as the platform lists them, and which of them may get requests."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import asdict, dataclass
+from typing import Any
+
+
+@dataclass(slots=True, frozen=True)
+class Upstream:
+    """An instance of a service as it registered itself.
+
+    `incarnation` tells two starts under one id apart. `cold_until` is in epoch seconds, so that
+    another VM can read it.
+    """
+
+    id: str
+    incarnation: int
+    service: str
+    ip: str
+    port: int
+    zone: str
+    slots: int
+    draining: bool = False
+    cold_until: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamList:
+    """All instances by id, as of a revision of the store."""
+
+    revision: int = 0
+    by_id: Mapping[str, Upstream] | None = None
+
+    def __iter__(self) -> Iterator[Upstream]:
+        return iter((self.by_id or {}).values())
+
+
+def upstreams_to_json(found: UpstreamList) -> dict[str, Any]:
+    """Return a list of instances as the document that VMs give each other."""
+    return {"revision": found.revision, "upstreams": [asdict(up) for up in found]}
+
+
+def upstreams_from_json(doc: Mapping[str, Any]) -> UpstreamList:
+    """Read such a document; ValueError if it is not one."""
+    try:
+        found = [Upstream(**item) for item in doc["upstreams"]]
+        return UpstreamList(int(doc["revision"]), {up.id: up for up in found})
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"list of upstreams: {exc!r}") from exc
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -19,6 +19,7 @@
 from gypsumwind.hangups import HangupTask
 from gypsumwind.holds import HoldsTask
 from gypsumwind.homes import Home, HomeParts
+from gypsumwind.joins import JoinTask
 from gypsumwind.keys import HomeActor
 from gypsumwind.legacies import Legacy
 from gypsumwind.log import Log
@@ -41,7 +42,6 @@
 
 TICK_S = 0.1
 POLL_S = 0.1
-JOIN_RETRY_S = 0.5
 
 
 class TickTask(Task):
@@ -57,43 +57,6 @@
             actor.tell(msg.Tick())
 
 
-class JoinTask(Task):
-    """Reads the records of every seed that answers, then lets this VM claim holds."""
-
-    def __init__(
-        self, cfg: Settings, gossip: GossipTask, watch: TableWatch, joined: threading.Event
-    ) -> None:
-        super().__init__("join", JOIN_RETRY_S)
-        self._cfg = cfg
-        self._gossip = gossip
-        self._watch = watch
-        self._joined = joined
-
-    def step(self) -> None:
-        """Try the seeds; joined once one has answered or the store has been read."""
-        if self._joined.is_set():
-            return
-        answered = [self._sync(seed) for seed in self._seeds()]
-        if any(answered) or self._watch.loaded:
-            self._joined.set()
-            log.info("joined", seeds=len(answered), answered=sum(answered))
-
-    def _seeds(self) -> list[Endpoint]:
-        mine = (self._cfg.advertise_ip, self._cfg.peer_port)
-        return [
-            Endpoint(seed.ip, 0, 0, seed.peer_port)
-            for seed in self._cfg.seeds
-            if (seed.ip, seed.peer_port) != mine
-        ]
-
-    def _sync(self, endpoint: Endpoint) -> bool:
-        try:
-            self._gossip.sync(endpoint)
-        except PeerError:
-            return False
-        return True
-
-
 class DrainTask(Task):
     """Follows the places document: a VM that it lists as draining leaves, and may come back."""
 
@@ -224,7 +187,7 @@
             self._gossip,
             self._watch,
             VmListWatch(cfg, board, self._store, self._records),
-            JoinTask(cfg, self._gossip, self._watch, self._joined),
+            JoinTask(cfg, self._gossip, lambda: self._watch.loaded, self._joined),
             HoldsTask(cfg, board, self._gate, self._metrics, self._joined, self._rng),
             HealthTask(cfg, board, self._gate),
             DrainTask(self),
--- /dev/null
+++ b/gypsumwind/direct.py
@@ -0,0 +1,216 @@
+"""A daemon of the direct way: it follows feeds of the platform and sends to any instance."""
+
+import random
+import socket
+import threading
+import time
+from collections.abc import Mapping
+from contextlib import ExitStack
+from typing import Any
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.connections import Connections
+from gypsumwind.core.lookup import Entry, entries_for
+from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
+from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.rules import Ruleset, ruleset_to_json
+from gypsumwind.core.upstreams import UpstreamList, upstreams_to_json
+from gypsumwind.daemon import TICK_S, TickTask
+from gypsumwind.dispatchers import DispatchActor
+from gypsumwind.exchanges import Exchanger
+from gypsumwind.feeds import Feed, FeedTask
+from gypsumwind.forwarders import Forwarder
+from gypsumwind.fronts import FrontPages
+from gypsumwind.gossip import GossipTask, SpreadTask
+from gypsumwind.hangups import HangupTask
+from gypsumwind.joins import JoinTask
+from gypsumwind.log import Log
+from gypsumwind.members import MembersActor
+from gypsumwind.metrics import Metrics
+from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY
+from gypsumwind.peers import PeerServer, PeerService, ProbeListener
+from gypsumwind.records import RecordsActor
+from gypsumwind.servers import Server
+from gypsumwind.settings import Settings
+from gypsumwind.steering import HeaderNames, SteeringSettings
+from gypsumwind.tasks import Task
+from gypsumwind.utils import monotonic, pack_json, wall
+
+log = Log("direct")
+
+UPSTREAMS_PACE_S = 0.5
+"""Least time between two calls for changes of instances, of which there are many a second."""
+
+QUIET_PACE_S = 0.05
+"""The same for what changes rarely."""
+
+SWEEP_S = 1.0
+"""Period in which idle connections that are too old are closed."""
+
+STOP_LISTEN_S = 2.0
+"""Time at a stop for which new connections are still taken: callers' look-ups run out."""
+
+STOP_MARGIN_S = 0.4
+"""Part of the time for a stop that is left when the process ends."""
+
+POLL_S = 0.05
+
+
+class SweepTask(Task):
+    """Closes idle connections to instances in time."""
+
+    def __init__(self, connections: Connections) -> None:
+        super().__init__("sweep", SWEEP_S)
+        self._connections = connections
+
+    def step(self) -> None:
+        """Close those that are too old."""
+        self._connections.sweep()
+
+
+class Feeds:
+    """What the platform lists, each as a feed of the project's own types."""
+
+    __slots__ = ("rules", "upstreams", "closed_zones")
+
+    def __init__(self, rules: Feed, upstreams: Feed, closed_zones: Feed) -> None:
+        self.rules = rules
+        self.upstreams = upstreams
+        self.closed_zones = closed_zones
+
+
+class DirectDaemon:
+    """One entry VM's process on the direct way; a context manager that serves while open."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        steering: SteeringSettings,
+        names: HeaderNames,
+        read_load: Any,
+        feeds: Feeds,
+    ) -> None:
+        self._cfg = cfg
+        self._steering = steering
+        self._feeds = feeds
+        self._boot = int(wall() * 1000)
+        self._rng = random.Random()
+        self._stack = ExitStack()
+        endpoint = Endpoint(cfg.advertise_ip, cfg.caller_port, cfg.handoff_port, cfg.peer_port)
+        self._me = Member(cfg.vm, cfg.zone, endpoint, self._boot, State.ALIVE)
+        self.board = Board(self._me)
+        self._joined = threading.Event()
+        self._hangups = HangupTask()
+        self._connections = Connections(cfg.ip)
+        self._exchanger = Exchanger(self._connections, names, read_load)
+        self._names = names
+
+    def __enter__(self) -> "DirectDaemon":
+        try:
+            self._start()
+        except BaseException:
+            self._close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        self._stack.close()
+        pykka.ActorRegistry.stop_all(timeout=1)
+
+    def _start(self) -> None:
+        cfg, board, rng = self._cfg, self.board, self._rng
+        metrics = Metrics(cfg.tenants)
+        enter = self._stack.enter_context
+        self._dispatch = DispatchActor.start(cfg, self._steering, board, rng)
+        spread = SpreadTask(cfg, board, rng)
+        self._records = RecordsActor.start(board, cfg.zone, cfg.region, self._dispatch, spread.put)
+        self._start_members(enter)
+        gossip = GossipTask(cfg, self._boot, board, self._records, rng)
+        service = PeerService(cfg, board, self._boot, self._records, self._dispatch, self._dispatch)
+        enter(PeerServer(cfg.ip, cfg.peer_port, service))
+        forwarder = Forwarder(board, self._dispatch, self._exchanger, self._names, metrics)
+        self._front = FrontPages(cfg, board, forwarder, self._hangups, metrics, self._names)
+        self._server = Server("caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle)
+        enter(self._server)
+        tasks: list[Task] = [
+            TickTask([self._members, self._dispatch]),
+            self._hangups,
+            spread,
+            gossip,
+            SweepTask(self._connections),
+            JoinTask(cfg, gossip, lambda: board.rules is not None, self._joined),
+            *self._feed_tasks(),
+        ]
+        for task in tasks:
+            enter(task)
+        log.info("started", vm=cfg.vm, zone=cfg.zone, ip=cfg.ip, incarnation=self._boot)
+
+    def _start_members(self, enter: Any) -> None:
+        cfg = self._cfg
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((cfg.ip, cfg.peer_port))
+        seeds = [Endpoint(s.ip, 0, 0, s.peer_port) for s in cfg.seeds]
+        timing = Timing(cfg.probe_s, cfg.probe_ack_s, cfg.suspect_s)
+        membership = Membership(self._me, seeds, timing, self._rng, monotonic())
+        self._members = MembersActor.start(membership, sock, self.board)
+        enter(ProbeListener(sock, self._members))
+
+    def _feed_tasks(self) -> list[Task]:
+        feeds, rng = self._feeds, self._rng
+        return [
+            FeedTask("rules", feeds.rules, QUIET_PACE_S, self._put_rules, rng),
+            FeedTask("upstreams", feeds.upstreams, UPSTREAMS_PACE_S, self._put_upstreams, rng),
+            FeedTask("closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed, rng),
+        ]
+
+    def _put_rules(self, values: Mapping[str, Ruleset], revision: int) -> None:
+        for rules in values.values():
+            self._put(RULES_KEY, rules.version, ruleset_to_json(rules))
+
+    def _put_upstreams(self, values: Mapping[str, Any], revision: int) -> None:
+        self._put(UPSTREAMS_KEY, revision, upstreams_to_json(UpstreamList(revision, values)))
+
+    def _put_closed(self, values: Mapping[str, Any], revision: int) -> None:
+        self._put(CLOSED_ZONES_KEY, revision, sorted(values))
+
+    def _put(self, key: str, version: int, doc: Any) -> None:
+        record = Record(key, version, CONFIG_SCOPE, pack_json(doc))
+        self._records.tell(msg.PutRecords((record,)))
+
+    def ready(self) -> bool:
+        """Tell whether this VM takes callers: it knows where to send, and does not leave."""
+        board = self.board
+        return board.rules is not None and bool(board.upstreams.by_id) and not board.leaving
+
+    def look_up(self, host: str, region: str, zone: str) -> list[Entry]:
+        """Return the entry VMs for callers of a host in a zone."""
+        board = self.board
+        members = board.members.live() + ([] if board.leaving else [board.members.me])
+        entries = [
+            Entry(m.vm, m.zone, m.endpoint.ip, m.endpoint.caller_port)
+            for m in members
+            if m.state is State.ALIVE
+        ]
+        homes = board.rules.regions_of(host) if board.rules else frozenset()
+        return entries_for(entries, self._steering.regions, region, zone, homes)
+
+    def stop(self) -> None:
+        """Leave: out of look-ups, no new connections, then finish what is in flight."""
+        began = monotonic()
+        self.board.leaving = True
+        self._members.tell(msg.Leave(State.LEAVING))
+        log.info("leaving", in_flight=self._front.in_flight.count)
+        time.sleep(STOP_LISTEN_S)
+        self._server.close_listener()
+        until = began + self._steering.grace_s - STOP_MARGIN_S
+        while self._front.in_flight.count and monotonic() < until:
+            time.sleep(POLL_S)
+        self._members.tell(msg.Leave(State.LEFT))
+        time.sleep(TICK_S)
+        log.info("stopped", in_flight=self._front.in_flight.count)
--- /dev/null
+++ b/gypsumwind/dispatchers.py
@@ -0,0 +1,106 @@
+"""The actor that places requests on upstream instances for the direct way."""
+
+import random
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.dispatch import Decision, Dispatcher, Fleet
+from gypsumwind.core.repeats import RepeatBudget
+from gypsumwind.settings import Settings
+from gypsumwind.steering import SteeringSettings
+from gypsumwind.utils import monotonic, wall
+
+
+class DispatchActor(pykka.ThreadingActor):
+    """Owns the dispatcher, the requests that wait in it, and the budget for repeats."""
+
+    def __init__(
+        self, cfg: Settings, steering: SteeringSettings, board: Board, rng: random.Random
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._steering = steering
+        self._board = board
+        self._dispatcher = Dispatcher(cfg.region, steering.regions, self._fleet(), rng)
+        self._futures: dict[int, Future] = {}
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle the messages of the direct way; others are not for it."""
+        now = monotonic()
+        match message:
+            case msg.Place():
+                self._place(message, now)
+            case msg.CancelPlace():
+                self._futures.pop(message.ticket, None)
+                self._dispatcher.cancel(message.ticket)
+            case msg.SendEnded():
+                self._ended(message, now)
+            case msg.TakeRepeat():
+                return self._budget(message.service).take(now, len(self._dispatcher.fleet.vms))
+            case msg.SyncSteering():
+                self._sync(now)
+            case msg.Tick():
+                self._tick(now)
+        return None
+
+    def _place(self, message: msg.Place, now: float) -> None:
+        wanted = message.wanted
+        if not wanted.exclude:
+            self._budget(wanted.service).request(now)
+        decision = self._dispatcher.place(wanted, now)
+        if decision is None:
+            self._futures[wanted.ticket] = message.future
+        else:
+            message.future.set_result(decision)
+
+    def _ended(self, message: msg.SendEnded, now: float) -> None:
+        if message.leaving:
+            self._dispatcher.set_leaving(message.upstream)
+        self._dispatcher.finish(
+            message.upstream, message.outcome, message.report, message.seconds, now
+        )
+        self._drain(now)
+
+    def _tick(self, now: float) -> None:
+        fleet = self._fleet()
+        if fleet != self._dispatcher.fleet:
+            self._dispatcher.set_fleet(fleet)
+        self._drain(now)
+
+    def _drain(self, now: float) -> None:
+        for ticket, decision in self._dispatcher.drain(now):
+            self._decide(ticket, decision)
+
+    def _decide(self, ticket: int, decision: Decision) -> None:
+        future = self._futures.pop(ticket, None)
+        if future is not None:
+            future.set_result(decision)
+
+    def _sync(self, now: float) -> None:
+        board = self._board
+        if board.rules is not None:
+            self._dispatcher.policies = board.rules.services
+        self._dispatcher.set_upstreams(board.upstreams, now, wall())
+        self._dispatcher.set_closed_zones(board.closed_zones, now)
+        self._drain(now)
+
+    def _fleet(self) -> Fleet:
+        """Return the VMs that may send: silent ones count until they are forgotten."""
+        members = self._board.members
+        vms = tuple(sorted({self._cfg.vm, *members.members}))
+        steering = self._steering
+        return Fleet(self._cfg.vm, vms, steering.cold_overshoot, steering.cold_slack_per_s)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            steering = self._steering
+            budget = self._budgets[service] = RepeatBudget(
+                steering.repeat_ratio, steering.repeat_headroom, steering.repeat_window_s
+            )
+        return budget
--- /dev/null
+++ b/gypsumwind/exchanges.py
@@ -0,0 +1,247 @@
+"""One request sent to one upstream instance, and its answer or what is known without one."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from http.client import HTTPException
+
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+from urllib3.util import SKIP_HEADER
+
+from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
+from gypsumwind.connections import Connections
+from gypsumwind.core.dispatch import Outcome, ReportedLoad
+from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.hangups import TrackedConnection, cancelled
+from gypsumwind.steering import HeaderNames
+from gypsumwind.utils import monotonic
+
+BUFFER_BYTES = 256 * 1024
+"""Answers up to this size are read whole before the caller gets a byte, so a cut one is retried."""
+
+CONNECT_S = 1.0
+"""Longest wait for a connection: well over a lost first packet's second try."""
+
+BODILESS = frozenset((204, 304))
+NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
+SKIPPED = ("user-agent", "accept-encoding")
+"""Headers that the client library would add of its own."""
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """A caller's request as every instance gets it; `deadline` is on this VM's clock."""
+
+    id: str
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: Body
+    deadline: float
+    repeatable: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Sent:
+    """How a send ended: an answer that may go to the caller, or an error with its verdict."""
+
+    outcome: str
+    answer: Answer | None = None
+    error: RequestError | None = None
+    report: ReportedLoad | None = None
+    leaving: bool = False
+    seconds: float = 0.0
+
+
+class Exchanger:
+    """Sends requests to instances over kept connections."""
+
+    def __init__(
+        self,
+        connections: Connections,
+        names: HeaderNames,
+        read_load: Callable[[str], ReportedLoad | None],
+    ) -> None:
+        self._connections = connections
+        self._names = names
+        self._read_load = read_load
+
+    def send(self, up: Upstream, req: Request) -> Sent:
+        """Send a request and wait for the answer until the deadline."""
+        if cancelled():
+            return _failed(Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.NOT_RUN, 499)
+        conn, kept = self._connections.lease(up.ip, up.port, not req.repeatable)
+        started = monotonic()
+        try:
+            sent = self._connect(conn, kept, req) or self._exchange(conn, up, req)
+        except BaseException:
+            conn.close()
+            raise
+        seconds = monotonic() - started
+        return Sent(sent.outcome, sent.answer, sent.error, sent.report, sent.leaving, seconds)
+
+    def _connect(self, conn: TrackedConnection, kept: bool, req: Request) -> Sent | None:
+        left = req.deadline - monotonic()
+        if left <= 0:
+            conn.close()
+            return _failed(
+                Outcome.LATE, Code.DEADLINE_EXCEEDED, "deadline passed", Verdict.NOT_RUN, 504
+            )
+        if kept:
+            return None
+        try:
+            conn.timeout = min(left, CONNECT_S)
+            conn.connect()
+        except (HTTPError, OSError) as exc:
+            conn.close()
+            return _failed(
+                Outcome.UNREACHABLE, Code.UPSTREAM_UNREACHABLE, str(exc), Verdict.NOT_RUN, 503
+            )
+        return None
+
+    def _exchange(self, conn: TrackedConnection, up: Upstream, req: Request) -> Sent:
+        left = req.deadline - monotonic()
+        if left <= 0:
+            conn.close()
+            return _failed(
+                Outcome.LATE, Code.DEADLINE_EXCEEDED, "deadline passed", Verdict.NOT_RUN, 504
+            )
+        try:
+            self._write(conn, up, req, left)
+            conn.timeout = max(0.001, req.deadline - monotonic())
+            response = conn.getresponse()
+            return self._read(conn, response, req)
+        except TimeoutError as exc:
+            conn.close()
+            return _failed(
+                Outcome.LATE, Code.DEADLINE_EXCEEDED, f"no answer: {exc}", Verdict.MAY_HAVE_RUN, 504
+            )
+        except (HTTPException, HTTPError, OSError, ValueError) as exc:
+            conn.close()
+            if cancelled():
+                return _failed(
+                    Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.MAY_HAVE_RUN, 499
+                )
+            text = f"answer cut: {type(exc).__name__}: {exc}"
+            return _failed(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+
+    def _write(self, conn: TrackedConnection, up: Upstream, req: Request, left: float) -> None:
+        headers = dict(req.headers)
+        headers[self._names.deadline_ms] = str(max(1, int(left * 1000)))
+        headers[self._names.target] = up.id
+        for name in SKIPPED:
+            headers.setdefault(name, SKIP_HEADER)
+        body = req.body
+        has_body = body.length != 0
+        if has_body and body.length is not None:
+            headers["content-length"] = str(body.length)
+        conn.timeout = left
+        try:
+            conn.request(
+                req.method,
+                req.target,
+                body=body.chunks() if has_body else None,
+                headers=headers,
+                chunked=has_body and body.length is None,
+                preload_content=False,
+                decode_content=False,
+                enforce_content_length=True,
+            )
+        except (BrokenPipeError, ConnectionResetError):
+            # An instance may answer before it has read the body and close; the answer counts.
+            if conn.sock is None:
+                raise
+
+    def _read(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Sent:
+        names, headers = self._names, response.headers
+        report = self._read_load(headers.get(names.load, ""))
+        leaving = "close" in headers.get("connection", "").lower()
+        answered_id = headers.get(names.request_id)
+        if answered_id is not None and answered_id != req.id:
+            conn.close()
+            text = f"the answer is that of request {answered_id}"
+            return _failed(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+        whole = self._body(conn, response, req)
+        if response.status in NOT_RUN_STATUSES and (
+            names.not_run in headers or response.status == 421
+        ):
+            whole.end(True)
+            misdirected = response.status == 421
+            text = f"instance answered {response.status}, not run"
+            error = RequestError(Code.UPSTREAM_REFUSED, text, Verdict.NOT_RUN, 503)
+            outcome = Outcome.MISDIRECTED if misdirected else Outcome.SHED
+            return Sent(outcome, None, error, report, leaving)
+        success = 200 <= response.status < 300
+        if success and (names.signature not in headers or answered_id is None):
+            whole.end(False)
+            text = "a success without the instance's signature or the request's id"
+            return _failed(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+        outcome = Outcome.FAILED if response.status >= 500 else Outcome.OK
+        return Sent(outcome, whole, None, report, leaving)
+
+    def _body(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Answer:
+        """Return the answer; up to BUFFER_BYTES of its body have been read."""
+        headers = [(n, v) for n, v in response.headers.items() if n.lower() not in HOP_BY_HOP]
+        bodiless = req.method == "HEAD" or response.status in BODILESS
+        source = iter(()) if bodiless else self._chunks(conn, response, req)
+        taken: list[bytes] = []
+        size = 0
+        for chunk in source:
+            taken.append(chunk)
+            size += len(chunk)
+            if size >= BUFFER_BYTES:
+                text = response.headers.get("content-length", "")
+                length = int(text) if text.isdecimal() else None
+                return Answer(response.status, headers, _joined(taken, source), conn.close, length)
+        self._keep(conn, response)
+        return Answer(response.status, headers, iter(taken), _nothing, size)
+
+    def _chunks(
+        self, conn: TrackedConnection, response: HTTPResponse, req: Request
+    ) -> Iterator[bytes]:
+        while True:
+            left = req.deadline - monotonic()
+            if left <= 0:
+                raise TimeoutError("the answer was not whole in time")
+            if conn.sock is not None:
+                conn.sock.settimeout(left)
+            chunk = response.read(CHUNK_BYTES, decode_content=False)
+            if not chunk:
+                return
+            yield chunk
+
+    def _keep(self, conn: TrackedConnection, response: HTTPResponse) -> None:
+        closing = "close" in response.headers.get("connection", "").lower()
+        if conn.sock is None or closing:
+            conn.close()
+            return
+        conn.rest()
+        self._connections.give_back(conn, _keep_s(response.headers.get("keep-alive", "")))
+
+
+def _joined(taken: list[bytes], source: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield what was read and what follows; a cut raises, so that it never looks whole."""
+    yield from taken
+    try:
+        yield from source
+    except (HTTPException, HTTPError, OSError) as exc:
+        text = f"answer cut: {exc}"
+        raise RequestError(Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502) from exc
+
+
+def _nothing() -> None:
+    return
+
+
+def _keep_s(text: str) -> float | None:
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return float(value)
+    return None
+
+
+def _failed(outcome: str, code: Code, text: str, verdict: Verdict, status: int) -> Sent:
+    return Sent(outcome, None, RequestError(code, text, verdict, status))
--- /dev/null
+++ b/gypsumwind/forwarders.py
@@ -0,0 +1,224 @@
+"""The direct way of a request: from the VM that its caller chose to an instance, in one hop."""
+
+import itertools
+from collections.abc import Mapping
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+import pykka
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.calls import HOP_BY_HOP, Answer
+from gypsumwind.core.dispatch import Decision, Outcome, Placed, Refused, Wanted
+from gypsumwind.core.rules import Rule
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError
+from gypsumwind.exchanges import Exchanger, Request, Sent
+from gypsumwind.hangups import CancelScope, cancelled, current_scope
+from gypsumwind.log import Log
+from gypsumwind.metrics import Metrics
+from gypsumwind.servers import Exchange
+from gypsumwind.steering import HeaderNames
+from gypsumwind.utils import monotonic
+
+log = Log("forwarders")
+
+KEEP_BODY_BYTES = 1024 * 1024
+"""Request bodies up to this size are read whole, so that they can be sent once more."""
+
+ANSWER_MARGIN_S = 0.02
+"""Time kept of a deadline to answer the caller before it has passed."""
+
+UNKNOWN_RETRY_S = 0.25
+"""When to come back to a VM that has not learnt its configuration yet."""
+
+
+class _Wait:
+    """A wait for a decision that ends early when the caller goes away."""
+
+    __slots__ = ("future",)
+
+    def __init__(self) -> None:
+        self.future: Future[Decision | None] = Future()
+
+    def abort(self, scope: CancelScope) -> None:
+        """End the wait without a decision."""
+        if not self.future.done():
+            self.future.set_result(None)
+
+
+class Forwarder:
+    """Finds the rule of a request, has it placed, sends it, and repeats it where that is safe."""
+
+    def __init__(
+        self,
+        board: Board,
+        dispatch: pykka.ActorRef,
+        exchanger: Exchanger,
+        names: HeaderNames,
+        metrics: Metrics,
+    ) -> None:
+        self._board = board
+        self._dispatch = dispatch
+        self._exchanger = exchanger
+        self._names = names
+        self._metrics = metrics
+        self._tickets = itertools.count(1)
+
+    def rule_for(self, ex: Exchange) -> Rule:
+        """Return the rule of a request; RequestError if there is none."""
+        rules = self._board.rules
+        if rules is None:
+            text = "this VM has not learnt its configuration yet"
+            raise RequestError(Code.TABLE_NOT_READY, text, Verdict.NOT_RUN, 503, UNKNOWN_RETRY_S)
+        rule = rules.find(ex.headers.get("host", ""), ex.path)
+        if rule is None:
+            text = f"no rule of version {rules.version} takes {ex.path!r}"
+            raise RequestError(Code.UNKNOWN_SERVICE, text, Verdict.NOT_RUN, 404)
+        length = ex.body.length
+        if length is not None and length > rules.limits.body_bytes:
+            raise RequestError(Code.BAD_REQUEST, "the body is too long", Verdict.NOT_RUN, 413)
+        return rule
+
+    def serve(self, ex: Exchange, rule: Rule, arrived: float) -> Answer:
+        """Return the answer to a request; RequestError when no instance gives one in time."""
+        req = self._request(ex, rule, arrived)
+        ex.body.keep_small(KEEP_BODY_BYTES)
+        ex.body.keep_chunked(KEEP_BODY_BYTES)
+        key = ex.headers.get(self._names.affinity, "") if rule.sticky else ""
+        service = rule.service_for(req.id)
+        exclude: frozenset[str] = frozenset()
+        doubt: RequestError | None = None
+        last: RequestError | None = None
+        for attempt in range(1, rule.attempts + 1):
+            if attempt > 1 and not self._may_repeat(service, req, doubt):
+                break
+            wanted = Wanted(
+                next(self._tickets),
+                service,
+                key and f"{service}\x00{key}",
+                rule.priority,
+                req.deadline,
+                rule.regions,
+                exclude,
+            )
+            placed = self._place(wanted, req)
+            if isinstance(placed, RequestError):
+                last = last or placed
+                break
+            sent = self._send(placed, req, rule, attempt)
+            if sent.answer is not None and not self._repeat_failed(sent, req, rule, attempt):
+                return sent.answer
+            last = self._error_of(sent)
+            exclude |= {placed.upstream.id}
+            if last.verdict is not Verdict.NOT_RUN:
+                doubt = last
+            if sent.outcome in (Outcome.CANCELLED, Outcome.LATE):
+                break
+        assert last is not None
+        raise self._final(doubt, last)
+
+    def _request(self, ex: Exchange, rule: Rule, arrived: float) -> Request:
+        names = self._names
+        text = ex.headers.get(names.deadline_ms, "")
+        patience_s = int(text) / 1000.0 if text.isdecimal() else rule.timeout_s
+        left_s = min(patience_s, rule.timeout_s) - ANSWER_MARGIN_S
+        return Request(
+            ex.headers.get(names.request_id, ""),
+            ex.method,
+            ex.target,
+            _forwarded(ex.headers, names),
+            ex.body,
+            arrived + left_s,
+            rule.kind.repeatable,
+        )
+
+    def _place(self, wanted: Wanted, req: Request) -> Placed | RequestError:
+        """Wait for a place; an error when there is none in time or the caller has gone."""
+        wait = _Wait()
+        scope = current_scope()
+        if scope is not None:
+            scope.add(wait)
+        self._dispatch.tell(msg.Place(wanted, wait.future))
+        try:
+            decision = wait.future.result(timeout=max(0.0, req.deadline - monotonic()))
+        except FutureTimeoutError:
+            decision = Refused("no-room-in-time", UNKNOWN_RETRY_S)
+            self._dispatch.tell(msg.CancelPlace(wanted.ticket))
+        if isinstance(decision, Placed):
+            return decision
+        if decision is None:
+            self._dispatch.tell(msg.CancelPlace(wanted.ticket))
+            return RequestError(Code.CANCELLED, "the caller has gone away", Verdict.NOT_RUN, 499)
+        log.info(
+            "request-refused",
+            id=req.id,
+            service=wanted.service,
+            reason=decision.reason,
+            waited_s=round(decision.waited_s, 3),
+            retry_s=round(decision.retry_after_s, 2),
+        )
+        text = f"no instance of {wanted.service} has room: {decision.reason}"
+        return RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, decision.retry_after_s)
+
+    def _send(self, placed: Placed, req: Request, rule: Rule, attempt: int) -> Sent:
+        up = placed.upstream
+        sent = Sent(Outcome.CANCELLED)
+        try:
+            sent = self._exchanger.send(up, req)
+        finally:
+            self._dispatch.tell(
+                msg.SendEnded(up, sent.outcome, sent.report, sent.seconds, sent.leaving)
+            )
+        log.info(
+            "request-sent",
+            id=req.id,
+            rule=rule.name,
+            attempt=attempt,
+            instance=up.id,
+            zone=up.zone,
+            home=placed.home,
+            load=placed.load,
+            load_age_s=placed.load_age_s,
+            waited_s=round(placed.waited_s, 3),
+            outcome=sent.outcome,
+            status=sent.answer.status if sent.answer else 0,
+            error=sent.error.message if sent.error else "",
+            took_s=round(sent.seconds, 3),
+        )
+        return sent
+
+    def _repeat_failed(self, sent: Sent, req: Request, rule: Rule, attempt: int) -> bool:
+        """Tell whether an instance's own failure is worth another instance's try."""
+        if sent.outcome != Outcome.FAILED or not req.repeatable or attempt >= rule.attempts:
+            return False
+        return req.deadline - monotonic() > sent.seconds
+
+    def _error_of(self, sent: Sent) -> RequestError:
+        if sent.error is not None:
+            return sent.error
+        assert sent.answer is not None
+        sent.answer.end(True)
+        text = f"the instance failed with {sent.answer.status}"
+        return RequestError(Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+
+    def _may_repeat(self, service: str, req: Request, doubt: RequestError | None) -> bool:
+        if cancelled() or not req.body.replayable or (doubt and not req.repeatable):
+            return False
+        return bool(msg.ask(self._dispatch, msg.TakeRepeat(service)))
+
+    def _final(self, doubt: RequestError | None, last: RequestError) -> RequestError:
+        """An earlier send that may have run taints the verdict of the whole request."""
+        if doubt is None or last.verdict is not Verdict.NOT_RUN:
+            if last.verdict is Verdict.NOT_RUN and last.retry_after_s is None:
+                last.retry_after_s = UNKNOWN_RETRY_S
+            return last
+        return RequestError(doubt.code, doubt.message, doubt.verdict, doubt.status)
+
+
+def _forwarded(headers: Mapping[str, str], names: HeaderNames) -> dict[str, str]:
+    """Return the headers that go on: all but those of one connection and those set here."""
+    listed = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    dropped = (HOP_BY_HOP - {"host"}) | listed | {names.deadline_ms, names.target}
+    return {name: value for name, value in headers.items() if name not in dropped}
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -6,37 +6,56 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
-from typing import Any
+from typing import Any, Protocol
 
 from urllib3.connection import HTTPConnection
 
 from gypsumwind.tasks import Task
 
 SWEEP_S = 0.1
+"""Period of the look at callers' sockets; work for those gone ends well within half a second."""
+
+HANGUP_EVENTS = select.POLLIN | select.POLLRDHUP
 
 _scope: contextvars.ContextVar["CancelScope | None"] = contextvars.ContextVar("scope", default=None)
 
 
+def current_scope() -> "CancelScope | None":
+    """Return the scope of the request that this thread serves."""
+    return _scope.get()
+
+
 def cancelled() -> bool:
     """Tell whether the caller of the request that this thread serves has gone away."""
     scope = _scope.get()
     return scope is not None and scope.cancelled
 
 
+class Abortable(Protocol):
+    """Something that a request waits on and that can be ended early."""
+
+    def abort(self, scope: "CancelScope") -> None:
+        """End the wait if it is still for this scope."""
+        ...
+
+
 class CancelScope:
-    """The outgoing connections of one request; cancel() cuts those that still serve it."""
+    """What one request waits on; cancel() ends all that still serves it."""
 
     __slots__ = ("cancelled", "_conns", "_lock")
 
     def __init__(self) -> None:
         self.cancelled = False
-        self._conns: list[TrackedConnection] = []
+        self._conns: list[Abortable] = []
         self._lock = threading.Lock()
 
-    def add(self, conn: "TrackedConnection") -> None:
-        """Take in a connection that a request is about to be sent on."""
+    def add(self, conn: Abortable) -> None:
+        """Take in what the request is about to wait on; ended at once if the caller is gone."""
         with self._lock:
             self._conns.append(conn)
+            late = self.cancelled
+        if late:
+            conn.abort(self)
 
     def cancel(self) -> None:
         """Cut the connections, so that those who wait on them go on with an error."""
@@ -64,6 +83,11 @@
             scope.add(self)
         super().request(*args, **kwargs)
 
+    def rest(self) -> None:
+        """The request that the connection served has ended."""
+        with self._scope_lock:
+            self._scope = None
+
     def abort(self, scope: CancelScope) -> None:
         """Cut the connection if it is still in use for this scope."""
         with self._scope_lock:
@@ -92,17 +116,26 @@
             _scope.reset(token)
 
     def step(self) -> None:
-        """Cancel for every socket that is readable and at its end."""
-        for sock, scope in list(self._waiting.items()):
-            if _closed(sock):
+        """Cancel for every socket that its caller has closed, with one look at all of them."""
+        waiting = list(self._waiting.items())
+        poll = select.poll()
+        by_fd: dict[int, tuple[socket.socket, CancelScope]] = {}
+        for sock, scope in waiting:
+            fd = sock.fileno()
+            if fd >= 0:
+                by_fd[fd] = (sock, scope)
+                poll.register(fd, HANGUP_EVENTS)
+        for fd, events in poll.poll(0) if by_fd else ():
+            sock, scope = by_fd[fd]
+            if events & ~select.POLLIN or _at_end(sock):
                 self._waiting.pop(sock, None)
                 scope.cancel()
 
 
-def _closed(sock: socket.socket) -> bool:
+def _at_end(sock: socket.socket) -> bool:
     try:
-        poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        return bool(poll.poll(0)) and not sock.recv(1, socket.MSG_PEEK)
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
     except (OSError, ValueError):
         return True
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -7,12 +7,14 @@
 import pykka
 
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
+from gypsumwind.core.dispatch import ReportedLoad, Wanted
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyEntry
 from gypsumwind.core.membership import Ack, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.routes import ServiceRoute
+from gypsumwind.core.upstreams import Upstream
 
 ASK_TIMEOUT_S = 5.0
 
@@ -311,3 +313,41 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes | None
     ran: bool
+
+
+@dataclass(slots=True, frozen=True)
+class SyncSteering:
+    """To the dispatch actor: rules, upstreams or closed zones on the board have changed."""
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """To the dispatch actor: place a request; the future gets the decision."""
+
+    wanted: Wanted
+    future: Future
+
+
+@dataclass(slots=True, frozen=True)
+class CancelPlace:
+    """To the dispatch actor: the request no longer waits."""
+
+    ticket: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendEnded:
+    """To the dispatch actor: a send ended so, after so many seconds, and told this load."""
+
+    upstream: Upstream
+    outcome: str
+    report: ReportedLoad | None
+    seconds: float
+    leaving: bool
+
+
+@dataclass(slots=True, frozen=True)
+class TakeRepeat:
+    """To the dispatch actor: may a request to a service be sent once more."""
+
+    service: str
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -6,7 +6,9 @@
 from gypsumwind.board import Heir, VmLoad, ZoneLoad
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.records import Record
+from gypsumwind.core.rules import ruleset_from_json
 from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
+from gypsumwind.core.upstreams import upstreams_from_json
 from gypsumwind.utils import unpack_json, wall
 from gypsumwind.wire import headroom_from_wire, thrift, unpack
 
@@ -16,6 +18,9 @@
 ZONE_PREFIX = "zone/"
 HEIR_PREFIX = "heir/"
 VMLIST_KEY = "vmlist"
+RULES_KEY = "steering/rules"
+UPSTREAMS_KEY = "steering/upstreams"
+CLOSED_ZONES_KEY = "steering/closed-zones"
 
 
 def table_of(record: Record) -> ServiceTable:
@@ -45,6 +50,12 @@
         return zone_load_from_bytes(record.payload)
     if record.key == VMLIST_KEY:
         return unpack_json(record.payload)
+    if record.key == RULES_KEY:
+        return ruleset_from_json(unpack_json(record.payload))
+    if record.key == UPSTREAMS_KEY:
+        return upstreams_from_json(unpack_json(record.payload))
+    if record.key == CLOSED_ZONES_KEY:
+        return frozenset(unpack_json(record.payload))
     if record.key.startswith(HEIR_PREFIX):
         return heir_from_bytes(record.payload)
     raise ValueError(f"unknown kind of record: {record.key}")
--- /dev/null
+++ b/gypsumwind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the project's own types; no decisions."""
--- /dev/null
+++ b/gypsumwind/platform/__main__.py
@@ -0,0 +1,83 @@
+"""Runs the daemon of one entry VM on the users' platform."""
+
+import os
+import signal
+import sys
+import threading
+from contextlib import ExitStack
+
+import click
+
+from gypsumwind.direct import DirectDaemon, Feeds
+from gypsumwind.errors import SettingsError
+from gypsumwind.log import start_logging
+from gypsumwind.metrics import prometheus_text
+from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
+from gypsumwind.platform.headers import HEADERS, read_load
+from gypsumwind.platform.pages import PlatformPages
+from gypsumwind.platform.settings import PlatformSettings, read_platform_settings
+from gypsumwind.platform.store import KindFeed, PlatformStore
+from gypsumwind.servers import Server
+
+SETTINGS_VARIABLE = "GYPSUMWIND_SETTINGS"
+DEFAULT_SETTINGS = "/etc/gypsumwind/settings.conf"
+EXIT_SETTINGS = 2
+PAGE_THREADS = 4
+
+
+@click.command("gypsumwind.platform")
+@click.option("--check", is_flag=True, help="check the settings file and exit")
+def main(check: bool) -> None:
+    """Run until SIGTERM."""
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+    try:
+        settings = read_platform_settings(path)
+    except SettingsError as exc:
+        for line in exc.message.splitlines():
+            click.echo(f"{exc.code.value} {line}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    if check:
+        click.echo("settings are valid")
+        return
+    start_logging(settings.cfg.log_level)
+    _run(settings)
+
+
+def _run(settings: PlatformSettings) -> None:
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    cfg = settings.cfg
+    daemon = DirectDaemon(cfg, settings.steering, HEADERS, read_load, _feeds(settings))
+    pages = PlatformPages(
+        daemon.ready, daemon.look_up, settings.steering.lookup_ttl_s, prometheus_text
+    )
+    with ExitStack() as stack:
+        stack.enter_context(daemon)
+        for name in ("readiness", "directory", "control"):
+            ip, port = getattr(settings, name)
+            stack.enter_context(Server(name, ip, port, PAGE_THREADS, pages.handle))
+        ended.wait()
+        daemon.stop()
+        os._exit(0)
+
+
+def _feeds(settings: PlatformSettings) -> Feeds:
+    cfg = settings.cfg
+    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
+    return Feeds(
+        rules=KindFeed(store, "config", lambda obj, _: decode_ruleset(obj.spec)),
+        upstreams=KindFeed(
+            store,
+            "servers",
+            lambda obj, epoch: decode_upstream(
+                obj.name, {"spec": obj.spec, "status": obj.status}, epoch
+            ),
+        ),
+        closed_zones=KindFeed(store, "evacuations", lambda obj, _: True),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gypsumwind/platform/decoding.py
@@ -0,0 +1,121 @@
+"""Objects of the platform's store, decoded into the project's types; ValueError if malformed."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from gypsumwind.core.rules import (
+    CallerLimits,
+    Kind,
+    Part,
+    Rule,
+    Ruleset,
+    ServicePolicy,
+    ruleset,
+)
+from gypsumwind.core.upstreams import Upstream
+from gypsumwind.utils import split_address
+
+KINDS = {
+    "safe": Kind.IDEMPOTENT,
+    "non_idempotent": Kind.NON_IDEMPOTENT,
+    "upload": Kind.UPLOAD,
+}
+STATES = {"ready": False, "draining": True}
+
+
+def decode_ruleset(spec: Any) -> Ruleset:
+    """Read the `spec` of the configuration object."""
+    try:
+        rules = [
+            _rule(listener["host"], item)
+            for listener in spec["listeners"]
+            for item in listener["routingRules"]
+        ]
+        services = {item["name"]: _policy(item) for item in spec["clusters"]}
+        limits = _limits(spec["limits"])
+        return ruleset(int(spec["version"], 16), rules, services, limits)
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"configuration: {exc!r}") from exc
+
+
+def _rule(host: str, item: Mapping[str, Any]) -> Rule:
+    action = item["action"]
+    parts: tuple[Part, ...]
+    if action.get("service"):
+        parts = (Part(str(action["service"]), 1.0),)
+    else:
+        parts = tuple(
+            Part(str(part["service"]), float(part["weight"])) for part in action["trafficSplit"]
+        )
+    if not parts or sum(part.weight for part in parts) <= 0:
+        raise ValueError(f"configuration: rule {item['name']!r} has no service with a weight")
+    return Rule(
+        name=str(item["name"]),
+        host=str(host),
+        prefix=str(item["match"]["pathPrefix"]),
+        kind=KINDS.get(item["type"], Kind.NON_IDEMPOTENT),
+        parts=parts,
+        timeout_s=float(action["timeoutS"]),
+        attempts=max(1, int(action.get("attempts") or 1)),
+        objective_s=float(item.get("targetLatencyS") or action["timeoutS"]),
+        priority=int(item.get("priority") or 0),
+        sticky=bool(item.get("sticky")),
+        regions=frozenset(action.get("allowedRegions") or ()),
+    )
+
+
+def _policy(item: Mapping[str, Any]) -> ServicePolicy:
+    return ServicePolicy(
+        name=str(item["name"]),
+        health_path=str(item.get("healthPath") or ""),
+        max_connections=int(item.get("maxConnections") or 0),
+        cold_start_s=float(item.get("coldStartS") or 0.0),
+        cold_per_s=float(item.get("coldPerS") or 0.0),
+    )
+
+
+def _limits(item: Mapping[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(item["maxHeaderBytes"]),
+        body_bytes=int(item["maxBodyBytes"]),
+        header_s=float(item["headerTimeoutS"]),
+        idle_s=float(item["idleTimeoutS"]),
+    )
+
+
+def decode_upstream(name: str, obj: Mapping[str, Any], epoch: float) -> Upstream:
+    """Read the entry of an instance, as it was at `epoch` (seconds since 1970).
+
+    Service, zone and slots stand in `info`, what changes in `status`; `born` is the start of the
+    process in milliseconds since 1970. A start that is not told counts as 0.
+    """
+    try:
+        spec = dict(obj["spec"])
+        status = dict(obj["status"] or spec["status"])
+        info = spec["info"]
+        ip, port = split_address(spec["address"])
+        state = status["state"]
+        if state not in STATES:
+            raise ValueError(f"state {state!r} is unknown")
+        slots = info["capacity"]
+        texts = (info["service"], info["zone"])
+        if not isinstance(slots, int) or slots < 1 or not all(isinstance(t, str) for t in texts):
+            raise ValueError("service, zone or slots are malformed")
+        cold_s = float(status.get("coldRemainingS") or 0.0)
+        return Upstream(
+            id=name,
+            incarnation=_whole(spec.get("born", status.get("born", 0))),
+            service=texts[0],
+            ip=ip,
+            port=port,
+            zone=texts[1],
+            slots=slots,
+            draining=STATES[state],
+            cold_until=epoch + cold_s if cold_s > 0 else 0.0,
+        )
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"instance {name}: {exc!r}") from exc
+
+
+def _whole(value: Any) -> int:
+    return value if isinstance(value, int) and not isinstance(value, bool) else 0
--- /dev/null
+++ b/gypsumwind/platform/headers.py
@@ -0,0 +1,23 @@
+"""Header names and values as the platform's callers and instances write them."""
+
+from gypsumwind.core.dispatch import ReportedLoad
+from gypsumwind.steering import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id="gypsumwind-request-id",
+    affinity="gypsumwind-affinity-key",
+    deadline_ms="gypsumwind-deadline-ms",
+    target="gypsumwind-target-instance",
+    not_run="gypsumwind-not-executed",
+    signature="gypsumwind-response-signature",
+    load="gypsumwind-instance-load",
+)
+
+
+def read_load(text: str) -> ReportedLoad | None:
+    """Read the load that an instance tells; None if it is malformed."""
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
--- /dev/null
+++ b/gypsumwind/platform/settings.py
@@ -0,0 +1,132 @@
+"""The platform's settings file, read into the project's settings."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from gypsumwind.errors import SettingsError
+from gypsumwind.settings import Settings, read_settings
+from gypsumwind.steering import SteeringSettings
+from gypsumwind.utils import split_address
+
+Address = tuple[str, int]
+
+GOSSIP_S = "1"
+"""Period of the exchange of records: here they carry the configuration, not loads."""
+
+THREADS = "160"
+"""Requests at once: three seconds' worth of the greatest load planned for one VM."""
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """What a process needs: the project's own settings, and the addresses that it serves."""
+
+    cfg: Settings
+    steering: SteeringSettings
+    readiness: Address
+    directory: Address
+    control: Address
+
+
+def read_platform_settings(path: str) -> PlatformSettings:
+    """Read and check the file; SettingsError names every key that is wrong."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: cannot be read: {exc}") from exc
+    values = {}
+    for line in text.splitlines():
+        name, mark, value = line.partition("=")
+        if mark and not line.lstrip().startswith("#"):
+            values[name.strip()] = value.strip()
+    return _Reader(path, values).read()
+
+
+class _Reader:
+    """Reads keys and gathers every fault, so that all are told at once."""
+
+    def __init__(self, path: str, values: Mapping[str, str]) -> None:
+        self._path = path
+        self._values = values
+        self._faults: list[str] = []
+
+    def read(self) -> PlatformSettings:
+        front = self._get("listen.front", split_address)
+        readiness = self._get("listen.readiness", split_address)
+        directory = self._get("listen.directory", split_address)
+        control = self._get("listen.control", split_address)
+        ports = self._get("internalPorts", _ports)
+        store = self._get("platform.address", split_address)
+        steering = self._steering()
+        flags = {
+            "vm": self._get("nodeName", str),
+            "zone": self._get("zone", str),
+            "region": self._get("region", str),
+            "ip": self._get("ip", str),
+        }
+        seeds = self._get("seeds", _seeds, "")
+        self._raise()
+        flags |= {
+            "caller_port": str(front[1]),
+            "peer_port": str(ports[0]),
+            "handoff_port": str(ports[0] + 1),
+            "store_url": f"http://{store[0]}:{store[1]}",
+            "seeds": " ".join(f"seed={ip}:{ports[0]}" for ip, _ in seeds),
+            "gossip_s": GOSSIP_S,
+            "threads": THREADS,
+        }
+        try:
+            cfg = read_settings(flags, {})
+        except SettingsError as exc:
+            raise SettingsError(f"{self._path}: {exc.message}") from exc
+        return PlatformSettings(cfg, steering, readiness, directory, control)
+
+    def _steering(self) -> SteeringSettings:
+        return SteeringSettings(
+            regions=self._zones(),
+            repeat_ratio=self._get("bounds.retryBudgetRatio", float),
+            repeat_headroom=self._get("bounds.retryHeadroom", float),
+            repeat_window_s=self._get("bounds.budgetWindowS", float),
+            cold_overshoot=self._get("bounds.coldOvershoot", float),
+            cold_slack_per_s=self._get("bounds.coldSlack", float),
+            grace_s=self._get("bounds.graceS", float),
+            lookup_ttl_s=self._get("platform.ttlMinS", float, "1"),
+        )
+
+    def _zones(self) -> dict[str, str]:
+        zones = {
+            name.removeprefix("zones."): region
+            for name, region in self._values.items()
+            if name.startswith("zones.")
+        }
+        if not zones:
+            self._faults.append("zones.*: missing; give the region of each zone")
+        return zones
+
+    def _get(self, name: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
+        text = self._values.get(name, default)
+        if text is None or (text == "" and default is None):
+            self._faults.append(f"{name}: missing")
+            return None
+        try:
+            return parse(text)
+        except ValueError as exc:
+            self._faults.append(f"{name}: {exc}")
+            return None
+
+    def _raise(self) -> None:
+        if self._faults:
+            raise SettingsError("\n".join(f"{self._path}: {fault}" for fault in self._faults))
+
+
+def _ports(text: str) -> tuple[int, int]:
+    first, _, last = text.partition(",")
+    if not first.isdecimal() or not last.isdecimal() or int(last) - int(first) < 1:
+        raise ValueError(f"{text!r} is not a first and a last port, two ports at least")
+    return int(first), int(last)
+
+
+def _seeds(text: str) -> list[Address]:
+    return [split_address(part.strip()) for part in text.split(",") if part.strip()]
--- /dev/null
+++ b/gypsumwind/platform/store.py
@@ -0,0 +1,138 @@
+"""A client of the platform's store of objects by kind and name, over HTTP."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from gypsumwind.errors import Code, StoreError
+from gypsumwind.feeds import Changes
+from gypsumwind.utils import wall
+
+CONNECT_TIMEOUT_S = 1.0
+"""Time limit of a connect; the store answers within some milliseconds."""
+
+WATCH_MARGIN_S = 3.0
+"""Time beyond the wait of a watch after which the connection counts as silent."""
+
+MAX_WAIT_S = 25.0
+"""Longest wait of a watch; the platform allows 30 s."""
+
+
+@dataclass(slots=True, frozen=True)
+class StoredObject:
+    """One object: its name, the revision of its last change, and what it holds."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+
+
+class PlatformStore:
+    """Calls to the store; StoreError tells whether a call may have been done."""
+
+    def __init__(self, url: str, timeout_s: float, ip: str) -> None:
+        self._url = url
+        self._timeout_s = timeout_s
+        self._pool = urllib3.PoolManager(
+            retries=False, maxsize=4, block=False, source_address=(ip, 0)
+        )
+
+    def read_all(self, kind: str) -> tuple[list[StoredObject], int]:
+        """Return the objects of a kind and the revision that they are of, page after page."""
+        found: list[StoredObject] = []
+        after, revision = "", None
+        while True:
+            doc = self._read(kind, {"after": after} if after else {})
+            page = _objects(doc["items"])
+            found.extend(page)
+            # Changes between two pages are seen again by a watch from the first page's revision.
+            revision = int(doc["at"]) if revision is None else revision
+            if not doc["hasMore"] or not page:
+                return found, revision
+            after = page[-1].name
+
+    def watch(
+        self, kind: str, after: int, wait_s: float
+    ) -> tuple[list[tuple[StoredObject, bool]], int]:
+        """Wait for changes of a kind; returns each object and whether it was removed."""
+        wait_s = min(wait_s, MAX_WAIT_S)
+        doc = self._read(
+            kind, {"watch": after, "waitMs": int(wait_s * 1000)}, wait_s + WATCH_MARGIN_S
+        )
+        try:
+            events = [(_object(e["object"]), bool(e["removed"])) for e in doc["events"]]
+            return events, int(doc["at"])
+        except (KeyError, TypeError) as exc:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"watch of {kind}: {exc!r}") from exc
+
+    def _read(self, kind: str, query: Mapping[str, Any], timeout_s: float | None = None) -> Any:
+        text = f"?{urlencode(query)}" if query else ""
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s or self._timeout_s)
+        url = f"{self._url}/objects/{quote(kind)}{text}"
+        try:
+            answer = self._pool.request("GET", url, timeout=timeout)
+            doc = json.loads(answer.data) if answer.status == 200 else None
+        except (HTTPError, ValueError) as exc:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: {exc}") from exc
+        if answer.status == 410:
+            raise StoreError(Code.STORE_HISTORY_GONE, f"read {kind}: the history is gone")
+        if not isinstance(doc, dict):
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: status {answer.status}")
+        return doc
+
+
+def _object(doc: Any) -> StoredObject:
+    try:
+        meta = doc["metadata"]
+        return StoredObject(
+            str(meta["name"]), int(meta["revision"]), doc.get("spec"), doc.get("status")
+        )
+    except (KeyError, TypeError, AttributeError, ValueError) as exc:
+        raise StoreError(Code.STORE_UNAVAILABLE, f"object from the store: {exc!r}") from exc
+
+
+def _objects(items: Any) -> list[StoredObject]:
+    if not isinstance(items, list):
+        raise StoreError(Code.STORE_UNAVAILABLE, "the store's list has no items")
+    return [_object(item) for item in items]
+
+
+class KindFeed:
+    """The objects of one kind, decoded; a malformed one counts as absent."""
+
+    def __init__(
+        self, store: PlatformStore, kind: str, decode: Callable[[StoredObject, float], Any]
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._decode = decode
+
+    def read(self) -> Changes:
+        """Return everything of the kind."""
+        found, revision = self._store.read_all(self._kind)
+        return self._changes([(obj, False) for obj in found], revision)
+
+    def changes(self, after: int, wait_s: float) -> Changes:
+        """Wait for what changes after a revision."""
+        events, revision = self._store.watch(self._kind, after, wait_s)
+        return self._changes(events, revision)
+
+    def _changes(self, events: list[tuple[StoredObject, bool]], revision: int) -> Changes:
+        values: dict[str, Any] = {}
+        faults: list[tuple[str, int, str]] = []
+        epoch = wall()
+        for obj, removed in events:
+            values[obj.name] = None
+            if removed:
+                continue
+            try:
+                values[obj.name] = self._decode(obj, epoch)
+            except ValueError as exc:
+                faults.append((obj.name, obj.revision, str(exc)))
+        return Changes(values, revision, faults)
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -13,9 +13,12 @@
 from gypsumwind.errors import TableError
 from gypsumwind.log import Log
 from gypsumwind.payloads import (
+    CLOSED_ZONES_KEY,
     HEIR_PREFIX,
     PLACES_KEY,
+    RULES_KEY,
     TABLE_PREFIX,
+    UPSTREAMS_KEY,
     VM_PREFIX,
     VMLIST_KEY,
     ZONE_PREFIX,
@@ -134,3 +137,19 @@
             board.zones = {**board.zones, value.zone: value}
         elif record.key == VMLIST_KEY:
             self._gate.tell(msg.SyncLeaving(frozenset(value)))
+        else:
+            self._publish_steering(record, value)
+
+    def _publish_steering(self, record: Record, value: Any) -> None:
+        """Put in force what the direct way works with."""
+        board = self._board
+        if record.key == RULES_KEY:
+            board.rules = value
+            log.info("rules-in-force", version=value.version)
+        elif record.key == UPSTREAMS_KEY:
+            board.upstreams = value
+            log.info("upstreams-in-force", revision=value.revision, count=len(value.by_id or {}))
+        elif record.key == CLOSED_ZONES_KEY:
+            board.closed_zones = value
+            log.info("closed-zones-in-force", revision=record.version, zones=sorted(value))
+        self._gate.tell(msg.SyncSteering())
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -96,9 +96,16 @@
         finally:
             answer.end(whole)
 
-    def send_error(self, exc: RequestError, vm: str) -> None:
-        """Answer with an error: code, verdict, and when to come back."""
+    def send_error(
+        self, exc: RequestError, vm: str, closing: bool = False, fractions: bool = False
+    ) -> None:
+        """Answer with an error: code, verdict, and when to come back.
+
+        With `fractions`, for callers that read them, the time to come back is not rounded.
+        """
         rest = self._skip_body()
+        if closing:
+            self._req.close_connection = True
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
         headers = [
@@ -108,7 +115,8 @@
             (H_VM, vm),
         ]
         if exc.retry_after_s is not None:
-            headers.append(("Retry-After", str(max(1, round(exc.retry_after_s)))))
+            wait = f"{exc.retry_after_s:.2f}" if fractions else max(1, round(exc.retry_after_s))
+            headers.append(("Retry-After", str(wait)))
         self._start(exc.status, headers, len(data))
         self._req.write(data)
         if rest:
@@ -116,6 +124,8 @@
 
     def _skip_body(self) -> bool:
         """Read a small rest of the body; tell whether a large one is left on the connection."""
+        if not self.body.unread:
+            return False
         remaining = getattr(self._req.rfile, "remaining", None)
         if remaining is None or remaining > SMALL_REST_BYTES:
             self._req.close_connection = self.body.length != 0
@@ -172,6 +182,12 @@
         if isinstance(fault, Exception) and not isinstance(fault, OSError):
             internal_error(fault)
 
+    def close_listener(self) -> None:
+        """Take no more connections; the library has no call for this short of a full stop."""
+        sock = self.socket
+        vars(self)["_connections"]._selector.unregister(sock.fileno())
+        sock.close()
+
 
 class Server:
     """An HTTP server with a fixed pool of threads that passes requests to a handler."""
@@ -194,6 +210,10 @@
     def _serve(self) -> None:
         self._http.serve()
 
+    def close_listener(self) -> None:
+        """Take no more new connections; those that are open are served on."""
+        self._http.close_listener()
+
     def __enter__(self) -> "Server":
         self._http.prepare()
         self._thread.start()
