A decision that comes too late no longer ends the dispatch actor

Change: the place is given back and the next in line gets it; a message that fails is logged and does not end the actor. Test: tests/test_dispatchers.py, failing before.

--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -1,19 +1,22 @@
 """The actor that places requests on upstream instances for the direct way."""
 
 import random
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 from typing import Any
 
 import pykka
 
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
-from gypsumwind.core.dispatch import Decision, Dispatcher, Fleet
+from gypsumwind.core.dispatch import Decision, Dispatcher, Fleet, Outcome, Placed
 from gypsumwind.core.repeats import RepeatBudget
+from gypsumwind.log import Log
 from gypsumwind.settings import Settings
 from gypsumwind.steering import SteeringSettings
 from gypsumwind.utils import monotonic, wall
 
+log = Log("dispatchers")
+
 
 class DispatchActor(pykka.ThreadingActor):
     """Owns the dispatcher, the requests that wait in it, and the budget for repeats."""
@@ -30,8 +33,14 @@
         self._budgets: dict[str, RepeatBudget] = {}
 
     def on_receive(self, message: Any) -> Any:
-        """Handle the messages of the direct way; others are not for it."""
-        now = monotonic()
+        """Handle a message; a fault is logged and does not end the actor, all wait for it."""
+        try:
+            return self._handle(message, monotonic())
+        except Exception as exc:
+            log.error("actor-failed", message=type(message).__name__, error=repr(exc))
+            return None
+
+    def _handle(self, message: Any, now: float) -> Any:
         match message:
             case msg.Place():
                 self._place(message, now)
@@ -53,10 +62,9 @@
         if not wanted.exclude:
             self._budget(wanted.service).request(now)
         decision = self._dispatcher.place(wanted, now)
-        if decision is None:
-            self._futures[wanted.ticket] = message.future
-        else:
-            message.future.set_result(decision)
+        self._futures[wanted.ticket] = message.future
+        if decision is not None:
+            self._decide(wanted.ticket, decision, now)
 
     def _ended(self, message: msg.SendEnded, now: float) -> None:
         if message.leaving:
@@ -73,13 +81,25 @@
         self._drain(now)
 
     def _drain(self, now: float) -> None:
-        for ticket, decision in self._dispatcher.drain(now):
-            self._decide(ticket, decision)
+        """Decide on those that wait, again while a place was given back."""
+        taken = False
+        while not taken:
+            decisions = self._dispatcher.drain(now)
+            taken = all([self._decide(ticket, decision, now) for ticket, decision in decisions])
 
-    def _decide(self, ticket: int, decision: Decision) -> None:
+    def _decide(self, ticket: int, decision: Decision, now: float) -> bool:
+        """Tell the request's thread; False if a place is given back as nobody waits for it."""
         future = self._futures.pop(ticket, None)
-        if future is not None:
-            future.set_result(decision)
+        try:
+            if future is not None:
+                future.set_result(decision)
+                return True
+        except InvalidStateError:
+            log.info("place-unwanted", ticket=ticket)
+        if isinstance(decision, Placed):
+            self._dispatcher.finish(decision.upstream, Outcome.CANCELLED, None, 0.0, now)
+            return False
+        return True
 
     def _sync(self, now: float) -> None:
         board = self._board
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -2,8 +2,9 @@
 
 import itertools
 from collections.abc import Mapping
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from contextlib import suppress
 
 import pykka
 
@@ -42,9 +43,9 @@
     def __init__(self) -> None:
         self.future: Future[Decision | None] = Future()
 
-    def abort(self, scope: CancelScope) -> None:
-        """End the wait without a decision."""
-        if not self.future.done():
+    def abort(self, scope: CancelScope | None = None) -> None:
+        """End the wait without a decision, unless there is one."""
+        with suppress(InvalidStateError):
             self.future.set_result(None)
 
 
@@ -144,7 +145,8 @@
         try:
             decision = wait.future.result(timeout=max(0.0, req.deadline - monotonic()))
         except FutureTimeoutError:
-            decision = Refused("no-room-in-time", UNKNOWN_RETRY_S)
+            wait.abort()
+            decision = wait.future.result() or Refused("no-room-in-time", UNKNOWN_RETRY_S)
             self._dispatch.tell(msg.CancelPlace(wanted.ticket))
         if isinstance(decision, Placed):
             return decision
--- /dev/null
+++ b/tests/test_dispatchers.py
@@ -0,0 +1,57 @@
+"""The dispatch actor: what is decided for a request that no longer waits is given back."""
+
+import random
+from concurrent.futures import Future
+from types import SimpleNamespace
+
+import pykka
+import pytest
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.dispatch import Outcome, Placed, Wanted
+from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.upstreams import Upstream, UpstreamList
+from gypsumwind.dispatchers import DispatchActor
+from gypsumwind.steering import SteeringSettings
+
+UP = Upstream("i1", 1, "s", "127.0.0.1", 1, "a1", 1)
+
+
+@pytest.fixture
+def actor():
+    me = Member("vm-1", "a1", Endpoint("127.0.0.1", 1, 2, 3), 1, State.ALIVE)
+    board = Board(me)
+    board.upstreams = UpstreamList(1, {"i1": UP})
+    steering = SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
+    cfg = SimpleNamespace(vm="vm-1", region="a")
+    ref = DispatchActor.start(cfg, steering, board, random.Random(1))
+    ref.tell(msg.SyncSteering())
+    yield ref
+    pykka.ActorRegistry.stop_all()
+
+
+def place(actor, ticket):
+    future = Future()
+    wanted = Wanted(ticket, "s", "k", 1, 1e12)
+    actor.ask(msg.Place(wanted, future))
+    return future
+
+
+def end(actor):
+    actor.ask(msg.SendEnded(UP, Outcome.OK, None, 0.1, False))
+
+
+def test_place_for_a_caller_that_went_away_is_given_back_and_the_actor_lives_on(actor):
+    held = [place(actor, n) for n in range(2)]
+    gone, waits = place(actor, 10), place(actor, 11)
+    assert all(isinstance(f.result(1), Placed) for f in held)
+    gone.set_result(None)
+    end(actor)
+    assert isinstance(waits.result(1), Placed)
+    assert actor.is_alive()
+
+
+def test_message_that_fails_does_not_end_the_actor(actor):
+    actor.ask(msg.SendEnded(None, Outcome.OK, None, 0.1, False))
+    assert isinstance(place(actor, 1).result(1), Placed)
