Two homes a key, planned over all regions by room; wait at a home rather than run cold

Ruled out: too little room (warm, the load needs under half of the slots), bounces (under 4 %). Change: core/placement.py derives homes by weighted rendezvous: a region short of room keeps what fits, the rest of its keys has homes where room is to spare. core/dispatch.py waits at a home up to twice its slots and leaves it only for the second home or for an idle instance.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -1,9 +1,9 @@
 """Placing of requests on upstream instances straight from the VM that a caller chose.
 
 No VM owns an instance here, so its room is estimated: what it last said of its load, plus this
-VM's own sends since. A sticky request goes to the home of its key, which all VMs derive alike; it
-leaves it for lack of room, for the next home in order. What finds no room waits here, by priority
-and arrival, and is refused as soon as it cannot be served in time.
+VM's own sends since. A sticky request goes to the first home of its key (core/placement), where
+its object is warm, and rather waits there a little than runs cold elsewhere. What finds no room
+waits here, by priority and arrival, and is refused as soon as it cannot be served in time.
 
 Answers to load: the room left at each instance, and the wait for it.
 """
@@ -11,18 +11,33 @@
 import math
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from gypsumwind.core.rendezvous import rank
+from gypsumwind.core.placement import Site, homes, site_weights
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmup import SPACING_S, senders
 
-SPILL_SHARE = 0.8
-"""Part of an instance's slots up to which it is filled in the order of homes (measured trials)."""
+FULL_SHARE = 2.0
+"""Part of an instance's slots beyond which nothing more is sent: what waits there has no order."""
 
-FULL_SHARE = 1.25
-"""Part of an instance's slots beyond which nothing more is sent; some wait there, none bounce."""
+IDLE_SHARE = 0.7
+"""Part of an instance's slots below which it may take a request that has its home elsewhere."""
+
+SECOND_HOME_WORK = 0.5
+"""Wait at the first home, in mean times of a request, above which the second home is taken."""
+
+FOREIGN_WORK = 1.5
+"""The same for an instance that is no home, where the object is cold: it takes so much longer."""
+
+OTHER_REGION_WORK = 0.2
+"""Mean times of a request that a round trip to another region counts as, among equals."""
+
+HOMES = 2
+"""Homes of a key: its objects stay warm at both."""
+
+MAX_PLANS = 20_000
+"""Keys whose homes are remembered."""
 
 LOAD_DECAY_S = 0.5
 """Age at which a report of an instance's load counts for a third against its mean."""
@@ -218,6 +233,8 @@
         self._lanes: dict[str, Lane] = {}
         self._services: dict[str, _ServiceState] = {}
         self._senders: dict[str, list[str]] = {}
+        self._plans: dict[tuple[str, str, frozenset[str]], Mapping[str, int]] = {}
+        self._weights: dict[tuple[str, frozenset[str]], Mapping[str, float]] = {}
 
     @property
     def lanes(self) -> Mapping[str, Lane]:
@@ -242,6 +259,7 @@
                 lane.cold_until = max(lane.cold_until, now + up.cold_until - epoch)
             lanes[up.id] = lane
         self._lanes = lanes
+        self._replan()
 
     def set_closed_zones(self, zones: frozenset[str], now: float) -> None:
         """Take in the zones that get nothing; those taken back are taken to be cold."""
@@ -249,6 +267,7 @@
             if lane.upstream.zone in self.closed_zones - zones:
                 self._suspect_cold(lane, now)
         self.closed_zones = zones
+        self._replan()
 
     def knows_upstreams(self) -> bool:
         """Tell whether any instance is known."""
@@ -290,6 +309,7 @@
         lane = self._lanes.get(upstream.id)
         if lane is not None and lane.upstream.incarnation == upstream.incarnation:
             lane.leaving = True
+            self._replan()
 
     def cancel(self, ticket: int) -> None:
         """Forget a request that waits."""
@@ -399,22 +419,67 @@
             lane.cold_until = max(lane.cold_until, now + policy.cold_start_s)
 
     def _choose(self, wanted: Wanted, now: float) -> Placed | None:
+        """Return the instance of the least expected wait, a home before any other."""
         lanes = self._open(wanted, now)
-        if wanted.key:
-            order = sorted(
-                lanes,
-                key=lambda la: (la.region == self._region, rank(wanted.key, la.upstream.id)),
-                reverse=True,
-            )
-        else:
-            order = sorted(lanes, key=lambda la: (la.region != self._region, la.share(now)))
-        for place, lane in enumerate(order):
-            if lane.share(now) < SPILL_SHARE:
-                return self._grant(lane, now, place == 0)
-        open_lanes = [lane for lane in order if lane.share(now) < FULL_SHARE]
-        if not open_lanes:
+        if not lanes:
+            return None
+        order = self._order(wanted) if wanted.key else {}
+        best, least = None, math.inf
+        for lane in lanes:
+            if wanted.key:
+                cost = self._cost(lane, order.get(lane.upstream.id, HOMES), now)
+            else:
+                cost = self._cost(lane, 0, now) + lane.share(now) + self._distance(lane)
+            if cost < least:
+                best, least = lane, cost
+        if best is None:
             return None
-        return self._grant(min(open_lanes, key=lambda la: la.share(now)), now, False)
+        return self._grant(best, now, order.get(best.upstream.id, 0) == 0)
+
+    def _cost(self, lane: Lane, place: int, now: float) -> float:
+        """Return the wait at an instance in mean times of a request, inf if it has no room."""
+        share = lane.share(now)
+        if share >= (FULL_SHARE if place < HOMES else IDLE_SHARE):
+            return math.inf
+        slots = max(1, lane.upstream.slots)
+        wait = max(0.0, share + 1.0 / slots - 1.0)
+        if place == 0:
+            return wait
+        if place < HOMES:
+            return wait + SECOND_HOME_WORK + self._distance(lane)
+        return wait + FOREIGN_WORK + share + self._distance(lane)
+
+    def _distance(self, lane: Lane) -> float:
+        return 0.0 if lane.region == self._region else OTHER_REGION_WORK
+
+    def _order(self, wanted: Wanted) -> Mapping[str, int]:
+        """Return the place of the homes of a key among the instances that it may use."""
+        plan = (wanted.service, wanted.key, wanted.regions)
+        found = self._plans.get(plan)
+        if found is None:
+            if len(self._plans) >= MAX_PLANS:
+                self._plans.clear()
+            weights = self._weights_for(wanted)
+            found = {site: i for i, site in enumerate(homes(wanted.key, weights)[:HOMES])}
+            self._plans[plan] = found
+        return found
+
+    def _weights_for(self, wanted: Wanted) -> Mapping[str, float]:
+        scope = (wanted.service, wanted.regions)
+        found = self._weights.get(scope)
+        if found is None:
+            sites = [
+                Site(lane.upstream.id, lane.region, lane.upstream.slots)
+                for lane in self._lanes.values()
+                if self._allowed(lane, replace(wanted, exclude=frozenset()))
+            ]
+            regions = len(wanted.regions or set(self._regions.values()))
+            found = self._weights[scope] = site_weights(sites, self._region, regions)
+        return found
+
+    def _replan(self) -> None:
+        self._plans.clear()
+        self._weights.clear()
 
     def _grant(self, lane: Lane, now: float, home: bool) -> Placed:
         load = lane.load(now)
--- a/gypsumwind/platform/decoding.py
+++ b/gypsumwind/platform/decoding.py
@@ -113,7 +113,7 @@
             draining=STATES[state],
             cold_until=epoch + cold_s if cold_s > 0 else 0.0,
         )
-    except (KeyError, TypeError) as exc:
+    except (KeyError, TypeError, AttributeError) as exc:
         raise ValueError(f"instance {name}: {exc!r}") from exc
 
 
--- /dev/null
+++ b/tests/core/test_dispatch.py
@@ -0,0 +1,173 @@
+"""Decisions under load, played against a small model of instances."""
+
+import random
+
+import pytest
+
+from gypsumwind.core.dispatch import (
+    EJECT_S,
+    FULL_SHARE,
+    Dispatcher,
+    Fleet,
+    Outcome,
+    Placed,
+    Refused,
+    ReportedLoad,
+    Wanted,
+)
+from gypsumwind.core.rules import ServicePolicy
+from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.warmup import SPACING_S
+
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+VMS = ("vm-1", "vm-2")
+
+
+def upstream(name, zone="a1", slots=4, **values):
+    return Upstream(name, 1, "s", "127.0.0.1", 1, zone, slots, **values)
+
+
+def dispatcher(ups, vm="vm-1", vms=VMS):
+    made = Dispatcher("a", ZONES, Fleet(vm, vms, 1.5, 5.0), random.Random(1))
+    made.policies = {"s": ServicePolicy("s", "/health", 100, 3.0, 5.2)}
+    made.set_upstreams(ups, 0.0, 1000.0)
+    return made
+
+
+def wanted(ticket, key="k", deadline=10.0, priority=1, **values):
+    return Wanted(ticket, "s", key, priority, deadline, **values)
+
+
+def place_many(made, count, now=0.0, **values):
+    return [made.place(wanted(n, **values), now) for n in range(count)]
+
+
+def test_key_goes_to_its_home_from_every_vm():
+    ups = [upstream(f"i{n}") for n in range(8)]
+    for key in ("k1", "k2", "k3", "k4"):
+        found = {dispatcher(ups, vm).place(wanted(1, key), 0.0).upstream.id for vm in VMS}
+        assert len(found) == 1
+
+
+def test_full_homes_make_a_request_wait_rather_than_run_cold_on_a_busy_instance():
+    made = dispatcher([upstream(f"i{n}") for n in range(3)])
+    placed = place_many(made, 2 * int(4 * FULL_SHARE) + 2)
+    homes = [p.upstream.id for p in placed if isinstance(p, Placed)]
+    assert len(set(homes)) <= 3
+    assert max(homes.count(name) for name in set(homes)) <= 4 * FULL_SHARE
+
+
+def test_idle_instance_takes_what_its_homes_cannot():
+    made = dispatcher([upstream(f"i{n}") for n in range(6)])
+    placed = [p for p in place_many(made, 17) if isinstance(p, Placed)]
+    assert len({p.upstream.id for p in placed}) > 2
+
+
+def test_draining_evacuated_excluded_and_foreign_instances_get_nothing():
+    made = dispatcher(
+        [
+            upstream("drains", draining=True),
+            upstream("closed", zone="a2"),
+            upstream("tried"),
+            upstream("abroad", zone="b1"),
+            upstream("good"),
+        ]
+    )
+    made.set_closed_zones(frozenset({"a2"}), 0.0)
+    want = {"regions": frozenset({"a"}), "exclude": frozenset({"tried"})}
+    found = [made.place(wanted(n, f"k{n}", **want), 0.0) for n in range(6)]
+    assert {p.upstream.id for p in found if isinstance(p, Placed)} == {"good"}
+
+
+def test_answer_that_says_close_stops_new_work_before_the_list_does():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    made.set_leaving(upstream("i1"))
+    found = [made.place(wanted(n, f"k{n}"), 0.0) for n in range(4)]
+    assert {p.upstream.id for p in found} == {"i2"}
+
+
+def test_nothing_to_send_to_is_refused_at_once_with_a_time_to_come_back():
+    decision = dispatcher([]).place(wanted(1), 0.0)
+    assert isinstance(decision, Refused) and decision.retry_after_s > 0
+
+
+def test_request_that_cannot_be_served_in_time_is_refused_at_once():
+    made = dispatcher([upstream("i1")])
+    decisions = place_many(made, 60, deadline=2.0)
+    refused = [d for d in decisions if isinstance(d, Refused)]
+    assert refused and all(d.waited_s == 0 for d in refused)
+
+
+def test_waiting_requests_are_placed_by_priority_and_refused_before_their_deadline():
+    made = dispatcher([upstream("i1", slots=1)], vms=("vm-1",))
+    up = place_many(made, 2)[0].upstream
+    assert made.place(wanted(10, priority=2, deadline=8.0), 0.0) is None
+    assert made.place(wanted(11, priority=1, deadline=8.0), 0.0) is None
+    made.finish(up, Outcome.OK, None, 0.2, 0.3)
+    assert [t for t, d in made.drain(0.3) if isinstance(d, Placed)] == [11]
+    late = made.drain(7.9)
+    assert [t for t, d in late if isinstance(d, Refused)] == [10]
+    assert made.waiting() == 0
+
+
+def test_higher_priority_passes_a_queue_of_lower():
+    made = dispatcher([upstream("i1", slots=1)], vms=("vm-1",))
+    up = place_many(made, 2)[0].upstream
+    assert made.place(wanted(10, priority=2), 0.0) is None
+    made.finish(up, Outcome.OK, None, 0.2, 0.3)
+    assert isinstance(made.place(wanted(12, priority=1), 0.3), Placed)
+
+
+def test_load_that_others_cause_is_seen_and_fades():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    up = made.place(wanted(1), 0.0).upstream
+    made.finish(up, Outcome.OK, ReportedLoad(8, 3, 4), 0.1, 1.0)
+    lane = made.lanes[up.id]
+    assert lane.load(1.0) > 9
+    assert lane.load(4.0) < 3
+
+
+def test_unreachable_instance_is_left_out_then_tried_again_as_a_cold_one():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    up = made.place(wanted(1), 0.0).upstream
+    made.finish(up, Outcome.UNREACHABLE, None, 0.0, 0.0)
+    now = EJECT_S / 2
+    assert {made.place(wanted(n), now).upstream.id for n in (2, 3)} != {up.id}
+    assert made.lanes[up.id].cold_until == 3.0
+
+
+@pytest.mark.parametrize("vms", [2, 12, 60])
+def test_cold_instance_gets_no_more_than_the_bound_from_the_whole_fleet(vms):
+    names = tuple(f"vm-{n}" for n in range(vms))
+    cold = upstream("i1", cold_until=1003.0)
+    fleet = [dispatcher([cold], vm, names) for vm in names]
+    sends = []
+    for step in range(29):
+        now = step * 0.1
+        for made in fleet:
+            if isinstance(made.place(wanted(step, deadline=60.0), now), Placed):
+                sends.append(now)
+                made.finish(cold, Outcome.OK, None, 0.05, now)
+            made.cancel(step)
+    assert sends
+    for start in sends:
+        assert sum(start <= t < start + 1.0 for t in sends) <= 5.2 * 1.5 + 5
+    assert SPACING_S > 1.0
+
+
+def test_restarted_instance_under_the_same_id_starts_with_no_load():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    up = made.place(wanted(1), 0.0).upstream
+    again = Upstream(up.id, 2, "s", "127.0.0.1", 1, "a1", 4)
+    made.set_upstreams([again], 1.0, 1001.0)
+    assert made.lanes[up.id].own == 0
+    made.finish(up, Outcome.CUT, None, 0.0, 1.0)
+    assert made.lanes[up.id].failures == 0.0
+
+
+def test_zone_that_is_taken_back_counts_as_cold():
+    made = dispatcher([upstream("i1", zone="a2"), upstream("i2")])
+    made.set_closed_zones(frozenset({"a2"}), 0.0)
+    made.set_closed_zones(frozenset(), 5.0)
+    assert made.lanes["i1"].cold_until == 8.0
+    assert made.lanes["i2"].cold_until < 0
--- /dev/null
+++ b/tests/core/test_repeats.py
@@ -0,0 +1,39 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumwind.core.repeats import RepeatBudget
+
+RATIO, HEADROOM, WINDOW_S = 0.2, 64.0, 10.0
+
+
+@given(st.lists(st.tuples(st.integers(0, 11), st.booleans(), st.floats(0, 0.2)), max_size=800))
+def test_twelve_vms_keep_the_bound_without_talk_in_every_window(events):
+    budgets = [RepeatBudget(RATIO, HEADROOM, WINDOW_S) for _ in range(12)]
+    now, requests, repeats = 0.0, [], []
+    for vm, first, gap in events:
+        now += gap
+        if first:
+            budgets[vm].request(now)
+            requests.append(now)
+        elif budgets[vm].take(now, 12):
+            repeats.append(now)
+    for end in repeats:
+        inside = [t for t in repeats if end - WINDOW_S < t <= end]
+        asked = [t for t in requests if end - WINDOW_S < t <= end]
+        assert len(inside) <= RATIO * len(asked) + HEADROOM
+
+
+def test_budget_comes_back_when_the_window_has_passed():
+    budget = RepeatBudget(RATIO, HEADROOM, WINDOW_S)
+    while budget.take(0.0, 12):
+        pass
+    assert not budget.take(9.9, 12)
+    assert budget.take(10.1, 12)
+
+
+def test_requests_earn_repeats():
+    budget = RepeatBudget(RATIO, 0.0, WINDOW_S)
+    assert not budget.take(0.0, 1)
+    for _ in range(100):
+        budget.request(0.0)
+    assert sum(budget.take(0.0, 1) for _ in range(50)) == 16
--- /dev/null
+++ b/tests/integration/test_direct.py
@@ -0,0 +1,246 @@
+"""The direct way by real processes: callers, daemons, instances and the platform's store."""
+
+import copy
+import os
+import socket
+import time
+
+import pytest
+
+from tests.standins import platform
+from tests.standins.fleet import until
+from tests.standins.steered import SIGNATURE, Site
+
+PLACES = [("i-1", "lookup", "a1"), ("i-2", "lookup", "a1"), ("i-3", "files", "a1")]
+BLOCK = f"127.{220 + os.getpid() % 30}"
+
+
+@pytest.fixture
+def fleet(tmp_path, request):
+    vms = getattr(request, "param", ("a1",))
+    with Site(tmp_path, f"{BLOCK}.9", PLACES, vms) as site:
+        for vm in site.vms.values():
+            vm.start()
+        for vm in site.vms.values():
+            until(vm.ready, text=f"{vm.name} is ready")
+        yield site
+
+
+def first(fleet):
+    return next(iter(fleet.vms.values()))
+
+
+def ran(fleet, request):
+    return [r for up in fleet.instances.values() for r in up.ran if r[0] == request]
+
+
+def test_answer_reaches_the_caller_unchanged_and_an_object_stays_at_its_home(fleet):
+    vm = first(fleet)
+    answers = [fleet.send(vm, request=f"r-{n}") for n in range(6)]
+    homes = {answer.data.split()[0] for answer in answers}
+    assert [a.status for a in answers] == [200] * 6 and len(homes) == 1
+    assert answers[3].headers[SIGNATURE] == "signed.r-3"
+    assert answers[3].data == (homes.pop() + b" r-3\n") * 20
+
+
+def test_body_by_length_and_in_chunks_arrives_unchanged(fleet):
+    vm = first(fleet)
+    data = os.urandom(300_000)
+    fleet.send(vm, "/put/a", "POST", "files.example", "r-1", body=data)
+    fleet.send(vm, "/put/b?q=%2F", "POST", "files.example", "r-2", body=iter([data, b"end"]))
+    assert fleet.instances["i-3"].ran == [
+        ("r-1", "POST", "/put/a", data),
+        ("r-2", "POST", "/put/b?q=%2F", data + b"end"),
+    ]
+
+
+def test_instance_gets_what_time_is_left_and_its_own_name(fleet):
+    fleet.send(first(fleet), headers={"Gypsumwind-Deadline-Ms": "1500"})
+    headers = [h for up in fleet.instances.values() for _, h in up.asked][0]
+    assert 1000 < int(headers["gypsumwind-deadline-ms"]) <= 1500
+    assert headers["gypsumwind-target-instance"] in fleet.instances
+    assert headers["host"] == "api.example"
+
+
+def test_no_rule_is_404(fleet):
+    assert fleet.send(first(fleet), "/none/").status == 404
+
+
+@pytest.mark.parametrize("mode", ["cut", "short", "unsigned", "fail"])
+def test_idempotent_request_is_served_by_another_instance_after_a_fault(fleet, mode):
+    for up in fleet.instances.values():
+        up.mode = mode
+    vm = first(fleet)
+    failed = fleet.send(vm, request="r-0")
+    assert (failed.status, SIGNATURE in failed.headers) == (
+        (500, True) if mode == "fail" else (502, False)
+    )
+    home = next(up for up in fleet.instances.values() if ran(fleet, "r-0")[0] in up.ran)
+    for up in fleet.instances.values():
+        up.mode = "ok" if up is not home else mode
+    assert fleet.send(vm, request="r-1").status == 200
+    assert len(ran(fleet, "r-1")) == 2
+
+
+@pytest.mark.parametrize("mode", ["cut", "short", "unsigned"])
+def test_non_idempotent_request_runs_once_and_is_never_said_not_to_have_run(fleet, mode):
+    for up in fleet.instances.values():
+        up.mode = mode
+    answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
+    assert answer.status == 502
+    assert len(ran(fleet, "r-1")) == 1
+
+
+def test_instances_own_failure_of_a_request_that_may_not_repeat_is_passed_on(fleet):
+    for up in fleet.instances.values():
+        up.mode = "fail"
+    answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
+    assert answer.status == 500 and answer.headers[SIGNATURE] == "signed.r-1"
+    assert len(ran(fleet, "r-1")) == 1
+
+
+def test_shed_request_goes_to_another_instance_whatever_its_kind(fleet):
+    vm = first(fleet)
+    fleet.send(vm, "/book/x", "POST", request="r-0", body=b"1")
+    home = next(up for up in fleet.instances.values() if up.ran)
+    home.mode = "shed"
+    assert fleet.send(vm, "/book/x", "POST", request="r-1", body=b"1").status == 200
+    assert len(ran(fleet, "r-1")) == 1
+
+
+def test_all_shed_is_a_refusal_with_a_time_to_come_back(fleet):
+    for up in fleet.instances.values():
+        up.mode = "shed"
+    answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
+    assert answer.status == 503 and float(answer.headers["Retry-After"]) > 0
+    assert not ran(fleet, "r-1")
+
+
+def test_second_answer_on_a_connection_reaches_nobody(fleet):
+    vm = first(fleet)
+    for up in fleet.instances.values():
+        up.mode = "extra"
+    for n in range(8):
+        answer = fleet.send(vm, request=f"r-{n}")
+        assert answer.status == 200 and answer.headers[SIGNATURE] == f"signed.r-{n}"
+
+
+def test_address_that_another_instance_has_now_runs_nothing(fleet):
+    fleet.store.remove("servers", "i-2")
+    fleet.store.register("i-9", fleet.instances["i-1"].address)
+    fleet.store.remove("servers", "i-1")
+    vm = first(fleet)
+    until(lambda: "count=2" in fleet.logs(), text="the list is in force")
+    answer = fleet.send(vm, "/book/x", "POST", body=b"1")
+    assert answer.status == 503 and not ran(fleet, "r-1")
+
+
+def test_caller_that_leaves_ends_the_work(fleet):
+    vm = first(fleet)
+    for up in fleet.instances.values():
+        up.work_s = 5.0
+    with socket.create_connection((vm.ip, platform.FRONT)) as sock:
+        sock.sendall(
+            b"GET /read/x HTTP/1.1\r\nHost: api.example\r\n"
+            b"Gypsumwind-Request-Id: r-1\r\nGypsumwind-Deadline-Ms: 9000\r\n\r\n"
+        )
+        until(lambda: ran(fleet, "r-1"), text="the request runs")
+    until(lambda: any(up.broken_off == ["r-1"] for up in fleet.instances.values()))
+
+
+def test_requests_sent_ahead_are_answered_in_order(fleet):
+    vm = first(fleet)
+    parts = [
+        f"GET /read/%2f{n} HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Request-Id: r-{n}\r\n\r\n"
+        for n in range(4)
+    ]
+    with socket.create_connection((vm.ip, platform.FRONT)) as sock:
+        sock.settimeout(10)
+        sock.sendall("".join(parts).encode())
+        data = b""
+        while data.count(b"signed.r-") < 4 or not data.endswith(b"r-3\n"):
+            data += sock.recv(65536)
+    places = [data.index(f"signed.r-{n}".encode()) for n in range(4)]
+    assert places == sorted(places)
+    assert ran(fleet, "r-2")[0][2] == "/read/%2f2"
+
+
+def test_route_times_out_with_an_answer(fleet):
+    doc = copy.deepcopy(platform.CONFIG)
+    doc["version"] = "0000000d"
+    for rule in doc["listeners"][0]["routingRules"]:
+        rule["action"]["timeoutS"] = 0.5
+    fleet.store.put("config", "main", doc)
+    until(lambda: "version=13" in fleet.logs(), text="the version is in force")
+    for up in fleet.instances.values():
+        up.work_s = 3.0
+    assert fleet.send(first(fleet)).status == 504
+
+
+def test_changed_configuration_is_in_force_and_an_older_one_is_not_taken(fleet):
+    vm = first(fleet)
+    doc = copy.deepcopy(platform.CONFIG)
+    doc["version"] = "0000000f"
+    doc["listeners"][0]["routingRules"][0]["match"]["pathPrefix"] = "/new/"
+    fleet.store.put("config", "main", doc)
+    until(lambda: fleet.send(vm, "/new/x").status == 200, text="the new route is served")
+    assert fleet.send(vm, "/read/x").status == 404
+    fleet.store.put("config", "main", platform.CONFIG)
+    time.sleep(0.5)
+    assert fleet.send(vm, "/new/x").status == 200
+
+
+@pytest.mark.parametrize("fleet", [("a1", "a1", "b1")], indirect=True)
+def test_look_up_names_live_vms_of_the_region_and_drops_those_that_stop(fleet):
+    vms = list(fleet.vms.values())
+    mine = {f"{vm.ip}:{platform.FRONT}" for vm in vms[:2]}
+    until(lambda: set(vms[2].resolve("a1")) == mine, text="both VMs of the zone are named")
+    assert vms[0].stop() == 0
+    left = {f"{vms[1].ip}:{platform.FRONT}"}
+    assert set(vms[1].resolve("a1")) == set(vms[2].resolve("a1")) == left
+    vms[1].kill()
+    there = {f"{vms[2].ip}:{platform.FRONT}"}
+    until(lambda: set(vms[2].resolve("a1")) == there, text="the other region stands in")
+
+
+def test_planned_stop_finishes_what_runs(fleet):
+    vm = first(fleet)
+    for up in fleet.instances.values():
+        up.work_s = 1.0
+    with socket.create_connection((vm.ip, platform.FRONT)) as sock:
+        sock.settimeout(10)
+        sock.sendall(
+            b"GET /read/x HTTP/1.1\r\nHost: api.example\r\n"
+            b"Gypsumwind-Request-Id: r-1\r\nGypsumwind-Deadline-Ms: 4000\r\n\r\n"
+        )
+        until(lambda: ran(fleet, "r-1"), text="the request runs")
+        assert vm.stop() == 0
+        data = b""
+        while part := sock.recv(65536):
+            data += part
+    assert b"200 OK" in data and b"Connection: close" in data and data.count(b" r-1\n") == 20
+
+
+@pytest.mark.parametrize("fleet", [("a1", "a1")], indirect=True)
+def test_store_down_serving_goes_on_and_a_new_vm_learns_from_its_peers(fleet):
+    vms = list(fleet.vms.values())
+    fleet.store.set_mode("reset")
+    vms[0].kill()
+    vms[0].start()
+    until(vms[0].ready, text="a VM that started without the store is ready")
+    for vm in vms:
+        assert fleet.send(vm, request=f"r-{vm.name}").status == 200
+
+
+def test_vm_that_knows_no_configuration_says_503_and_not_404(tmp_path):
+    with Site(tmp_path, f"{BLOCK}.9", PLACES) as site:
+        site.store.set_mode("busy")
+        vm = first(site).start()
+        answer = until(
+            lambda: vm.get(platform.READY, "/ready")[0] and site.send(vm), text="it answers"
+        )
+        assert answer.status == 503 and not vm.ready()
+        assert float(answer.headers["Retry-After"]) > 0
+        site.store.set_mode("ok")
+        until(vm.ready)
+        assert site.send(vm).status == 200
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,42 @@
+import pytest
+
+from gypsumwind.errors import SettingsError
+from gypsumwind.platform.settings import read_platform_settings
+from tests.standins.platform import settings_lines
+
+
+def write(tmp_path, lines):
+    path = tmp_path / "settings.conf"
+    path.write_text("\n".join(lines) + "\n")
+    return str(path)
+
+
+def test_file_becomes_settings(tmp_path):
+    found = read_platform_settings(write(tmp_path, settings_lines("vm-1", "127.0.0.1")))
+    assert (found.cfg.vm, found.cfg.zone, found.cfg.region) == ("vm-1", "a1", "a")
+    assert found.steering.regions == {"a1": "a", "b1": "b"}
+    assert found.steering.repeat_headroom == 64
+    assert found.cfg.seeds[0].peer_port == found.cfg.peer_port
+
+
+def test_unknown_keys_and_comments_are_passed_over(tmp_path):
+    lines = ["# comment", "", "new.key=1", "no mark", *settings_lines("vm-1", "127.0.0.1")]
+    assert read_platform_settings(write(tmp_path, lines)).cfg.vm == "vm-1"
+
+
+def test_every_fault_is_named_with_its_key(tmp_path):
+    lines = [
+        line
+        for line in settings_lines("vm-1", "127.0.0.1")
+        if not line.startswith(("zone=", "bounds.graceS"))
+    ]
+    lines += ["listen.front=nowhere", "internalPorts=7200", "bounds.coldSlack=much"]
+    with pytest.raises(SettingsError) as caught:
+        read_platform_settings(write(tmp_path, lines))
+    for key in ("zone", "bounds.graceS", "listen.front", "internalPorts", "bounds.coldSlack"):
+        assert f": {key}: " in caught.value.message
+
+
+def test_missing_file_is_a_settings_error(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        read_platform_settings(str(tmp_path / "none"))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,76 @@
+import pytest
+
+from gypsumwind.errors import Code, StoreError
+from gypsumwind.platform.store import KindFeed, PlatformStore
+from tests.standins import platform
+
+
+@pytest.fixture
+def served():
+    with platform.PlatformStore() as store:
+        yield store
+
+
+@pytest.fixture
+def client(served):
+    return PlatformStore(served.url, 0.5, "127.0.0.1")
+
+
+def names_feed(client):
+    return KindFeed(client, "servers", lambda obj, _: obj.spec["address"])
+
+
+def test_list_is_read_page_after_page(served, client):
+    for n in range(8):
+        served.register(f"i-{n}", f"127.0.0.1:{n + 1}")
+    found, revision = client.read_all("servers")
+    assert [obj.name for obj in found] == [f"i-{n}" for n in range(8)]
+    assert revision == served.revision
+
+
+def test_watch_tells_what_changed_and_what_was_removed(served, client):
+    feed = names_feed(client)
+    start = feed.read().revision
+    served.register("i-1", "127.0.0.1:1")
+    served.register("i-2", "127.0.0.1:2")
+    served.remove("servers", "i-1")
+    found = feed.changes(start, 5.0)
+    assert found.values == {"i-1": None, "i-2": "127.0.0.1:2"}
+    assert found.revision == served.revision
+
+
+def test_watch_ends_without_events_at_the_end_of_its_wait(served, client):
+    found = names_feed(client).changes(served.revision, 0.05)
+    assert not found.values and found.revision == served.revision
+
+
+def test_history_that_is_gone_asks_for_a_new_list(served, client):
+    served.register("i-1", "127.0.0.1:1")
+    served.forget_history()
+    with pytest.raises(StoreError) as caught:
+        client.watch("servers", 0, 1.0)
+    assert caught.value.code is Code.STORE_HISTORY_GONE
+
+
+@pytest.mark.parametrize("mode", ["busy", "throttled", "silent", "reset"])
+def test_store_that_does_not_answer_is_unavailable(served, client, mode):
+    served.set_mode(mode)
+    with pytest.raises(StoreError) as caught:
+        client.read_all("servers")
+    assert caught.value.code is Code.STORE_UNAVAILABLE
+    served.set_mode("ok")
+    assert client.read_all("servers") == ([], served.revision)
+
+
+def test_malformed_entry_counts_as_absent_and_is_told(served, client):
+    served.put("servers", "odd", "no entry")
+    served.register("i-1", "127.0.0.1:1")
+
+    def decode(obj, _):
+        if not isinstance(obj.spec, dict):
+            raise ValueError("no table")
+        return obj.spec["address"]
+
+    found = KindFeed(client, "servers", decode).read()
+    assert found.values == {"odd": None, "i-1": "127.0.0.1:1"}
+    assert [(name, text) for name, _, text in found.faults] == [("odd", "no table")]
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,217 @@
+"""A stand-in for the users' platform: its store of objects by kind, and settings files.
+
+Spoken is only what the platform's pages say; faults are switched on by a test.
+"""
+
+import json
+import threading
+import time
+from contextlib import suppress
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from tests.standins.http import QuietHandler, StandIn
+
+PAGE = 3
+"""Objects on a page of a list: few, so that every test reads several pages."""
+
+FRONT, CONTROL, DIRECTORY, READY, INTERNAL = 18381, 18382, 18383, 18388, 17200
+ZONES = {"a1": "a", "b1": "b"}
+
+
+def rule(name, kind, prefix, action, **values):
+    return {
+        "name": name,
+        "type": kind,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "sticky": True,
+        "match": {"pathPrefix": prefix},
+        "action": {"timeoutS": 5, "attempts": 2, "allowedRegions": [], **action},
+        **values,
+    }
+
+
+def cluster(name):
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 390,
+        "protocol": "h1",
+        "tls": False,
+        "coldStartS": 3.0,
+        "coldPerS": 5.2,
+    }
+
+
+CONFIG = {
+    "version": "0000000c",
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+    "listeners": [
+        {
+            "host": "api.example",
+            "routingRules": [
+                rule("read", "safe", "/read/", {"service": "lookup", "allowedRegions": ["a"]}),
+                rule("book", "non_idempotent", "/book/", {"service": "lookup"}),
+                rule(
+                    "split",
+                    "safe",
+                    "/split/",
+                    {
+                        "trafficSplit": [
+                            {"service": "lookup", "weight": 9},
+                            {"service": "files", "weight": 1},
+                        ]
+                    },
+                ),
+            ],
+        },
+        {
+            "host": "files.example",
+            "routingRules": [rule("put", "upload", "/put/", {"service": "files"})],
+        },
+    ],
+    "clusters": [cluster("lookup"), cluster("files")],
+}
+
+
+def server_entry(address, service="lookup", zone="a1", state="ready", cold_s=0, born=1, slots=4):
+    return {
+        "spec": {
+            "address": address,
+            "born": born,
+            "info": {"service": service, "version": "v1", "zone": zone, "capacity": slots},
+        },
+        "status": {"state": state, "sequence": 1, "coldRemainingS": cold_s},
+    }
+
+
+def settings_lines(vm, ip, zone="a1", store="127.0.0.1:9999", seeds=()):
+    return [
+        f"nodeName={vm}",
+        f"ip={ip}",
+        f"zone={zone}",
+        f"region={ZONES[zone]}",
+        *(f"zones.{name}={region}" for name, region in ZONES.items()),
+        f"listen.front={ip}:{FRONT}",
+        f"listen.readiness={ip}:{READY}",
+        f"listen.control={ip}:{CONTROL}",
+        f"listen.directory={ip}:{DIRECTORY}",
+        f"internalPorts={INTERNAL},{INTERNAL + 15}",
+        "seeds=" + ",".join(f"{seed}:{CONTROL}" for seed in (seeds or (ip,))),
+        "bounds.retryBudgetRatio=0.2",
+        "bounds.retryHeadroom=64",
+        "bounds.budgetWindowS=10",
+        "bounds.coldOvershoot=1.5",
+        "bounds.coldSlack=5",
+        "bounds.graceS=6",
+        f"platform.address={store}",
+        "platform.ttlMinS=1",
+    ]
+
+
+class PlatformStore(StandIn):
+    """Objects by kind and name with one revision counter, pages, watches and faults."""
+
+    def __init__(self, ip="127.0.0.1", port=0):
+        super().__init__(ip, port, _Handler)
+        self.changed = threading.Condition()
+        self.objects = {}
+        self.revision = 1
+        self.oldest = 0
+        self.log = []
+        self.mode = "ok"
+        self.calls = 0
+
+    def put(self, kind, name, spec, status=None):
+        """Write an object as the operator or an instance would."""
+        with self.changed:
+            self.revision += 1
+            meta = {"name": name, "revision": self.revision, "finalizers": [], "deleting": False}
+            obj = {"metadata": meta, "spec": spec, "status": status}
+            self.objects[(kind, name)] = obj
+            self.log.append((self.revision, kind, obj, False))
+            self.changed.notify_all()
+
+    def register(self, name, *args, **values):
+        """Write an instance's entry."""
+        entry = server_entry(*args, **values)
+        self.put("servers", name, entry["spec"], entry["status"])
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        with self.changed:
+            self.revision += 1
+            obj = self.objects.pop((kind, name))
+            self.log.append((self.revision, kind, obj, True))
+            self.changed.notify_all()
+
+    def forget_history(self):
+        """Answer 410 to watches from before now."""
+        with self.changed:
+            self.oldest = self.revision
+            self.changed.notify_all()
+
+    def set_mode(self, mode):
+        """Set ok, busy (503), throttled (429), silent or reset."""
+        with self.changed:
+            self.mode = mode
+            self.changed.notify_all()
+
+    def page(self, kind, after):
+        """Return a page of a kind's objects by name."""
+        with self.changed:
+            names = sorted(n for k, n in self.objects if k == kind and n > after)
+            items = [self.objects[(kind, name)] for name in names[:PAGE]]
+            return {"items": items, "hasMore": len(names) > PAGE, "at": self.revision}
+
+    def watch(self, kind, after, wait_s):
+        """Wait for events of a kind; None when that history is gone."""
+        until = time.monotonic() + wait_s
+        with self.changed:
+            while True:
+                if after < self.oldest:
+                    return None
+                found = [e for e in self.log if e[0] > after and e[1] == kind]
+                left = until - time.monotonic()
+                if found or left <= 0 or self.mode != "ok":
+                    events = [{"object": obj, "removed": gone} for _, _, obj, gone in found]
+                    return {"events": events, "at": self.revision}
+                self.changed.wait(left)
+
+
+class _Handler(QuietHandler):
+    def do_GET(self):
+        store = self.server.standin
+        store.calls += 1
+        if not self._available(store):
+            return
+        url = urlsplit(self.path)
+        query = {k: v[-1] for k, v in parse_qs(url.query).items()}
+        kind = unquote(url.path.removeprefix("/objects/"))
+        if "watch" in query:
+            doc = store.watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+            if self._available(store):
+                self._json(410 if doc is None else 200, doc or {})
+            return
+        self._json(200, store.page(kind, query.get("after", "")))
+
+    def _available(self, store):
+        if store.mode == "silent":
+            with store.changed:
+                store.changed.wait_for(lambda: store.mode != "silent", timeout=30)
+        if store.mode in ("silent", "reset"):
+            self.close_connection = True
+            return False
+        if store.mode in ("busy", "throttled"):
+            self._json(503 if store.mode == "busy" else 429, {})
+            return False
+        return True
+
+    def _json(self, status, doc):
+        with suppress(OSError):
+            self.reply(status, json.dumps(doc).encode(), [("Content-Type", "application/json")])
--- /dev/null
+++ b/tests/standins/steered.py
@@ -0,0 +1,215 @@
+"""Instances and daemons of the direct way, as a test starts them."""
+
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import urllib3
+
+from tests.standins import platform
+from tests.standins.http import QuietHandler, StandIn
+from tests.standins.platform import PlatformStore, settings_lines
+
+ROOT = Path(__file__).resolve().parents[2]
+SIGNATURE = "Gypsumwind-Response-Signature"
+
+
+class Instance(StandIn):
+    """An instance of a service: it keeps a log of what it ran and has faults to switch on.
+
+    `mode`: ok, shed, cut (the answer is lost), short (half of the body), extra (a second answer),
+    unsigned, fail (its own 500).
+    """
+
+    def __init__(self, name, ip="127.0.0.1", work_s=0.0):
+        super().__init__(ip, 0, _Handler)
+        self.name = name
+        self.work_s = work_s
+        self.mode = "ok"
+        self.ran = []
+        self.asked = []
+        self.broken_off = []
+        self.lock = threading.Lock()
+
+
+class _Handler(QuietHandler):
+    def do_GET(self):
+        up = self.server.standin
+        body = self._body()
+        request = self.headers.get("Gypsumwind-Request-Id", "")
+        with up.lock:
+            up.asked.append((request, dict(self.headers)))
+        if self.headers.get("Gypsumwind-Target-Instance") != up.name:
+            self._answer(421, b"", request, signed=False)
+            return
+        if up.mode == "shed":
+            self._answer(503, b"", request, {"Gypsumwind-Not-Executed": "1"}, signed=False)
+            return
+        with up.lock:
+            up.ran.append((request, self.command, self.path, body))
+        if not self._work(up, request):
+            return
+        if up.mode == "cut":
+            self.close_connection = True
+            return
+        status = 500 if up.mode == "fail" else 200
+        data = f"{up.name} {request}\n".encode() * 20
+        self._answer(status, data, request, signed=up.mode != "unsigned", short=up.mode == "short")
+        if up.mode == "extra":
+            self._answer(200, b"of nobody", "other", signed=True)
+
+    def do_POST(self):
+        self.do_GET()
+
+    def _work(self, up, request):
+        until = time.monotonic() + up.work_s
+        while time.monotonic() < until:
+            time.sleep(0.02)
+            self.connection.setblocking(False)
+            try:
+                if self.connection.recv(1, 2) == b"":
+                    up.broken_off.append(request)
+                    self.close_connection = True
+                    return False
+            except BlockingIOError:
+                pass
+            finally:
+                self.connection.setblocking(True)
+        return True
+
+    def _body(self):
+        if "chunked" not in self.headers.get("Transfer-Encoding", ""):
+            return self.rfile.read(int(self.headers.get("Content-Length", "0")))
+        data = b""
+        while size := int(self.rfile.readline(), 16):
+            data += self.rfile.read(size)
+            self.rfile.readline()
+        self.rfile.readline()
+        return data
+
+    def _answer(self, status, data, request, headers=None, signed=True, short=False):
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        if signed:
+            self.send_header(SIGNATURE, f"signed.{request}")
+        self.send_header("Gypsumwind-Request-Id", request)
+        self.send_header("Gypsumwind-Instance-Load", "0,0,4")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data[: len(data) // 2] if short else data)
+        self.wfile.flush()
+        if short:
+            self.close_connection = True
+
+
+class SteeredVm:
+    """One daemon process of the direct way."""
+
+    def __init__(self, site, name, zone, number):
+        self.site, self.name, self.zone = site, name, zone
+        self.ip = f"{site.block}.{number}"
+        self.path = site.folder / f"{name}.conf"
+        self.log_path = site.folder / f"{name}.log"
+        self.process = None
+
+    def start(self):
+        """Write the settings and start the process."""
+        seeds = [vm.ip for vm in self.site.vms.values()][:3] or [self.ip]
+        lines = settings_lines(self.name, self.ip, self.zone, self.site.store.address, seeds)
+        self.path.write_text("\n".join(lines))
+        env = {**os.environ, "GYPSUMWIND_SETTINGS": str(self.path)}
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gypsumwind.platform"],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+        return self
+
+    def get(self, port, path):
+        """Return status and document of a page, (0, None) if it does not answer."""
+        try:
+            answer = self.site.http.request("GET", f"http://{self.ip}:{port}{path}", timeout=2)
+            return answer.status, answer.json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return 0, None
+
+    def ready(self):
+        """Tell whether the daemon says that it takes callers."""
+        return self.get(platform.READY, "/ready")[0] == 200
+
+    def resolve(self, zone="a1", name="api.example"):
+        """Return the addresses of a look-up."""
+        region = platform.ZONES[zone]
+        _, doc = self.get(platform.DIRECTORY, f"/resolve?name={name}&region={region}&zone={zone}")
+        return (doc or {}).get("addresses", [])
+
+    def kill(self):
+        """Kill the process that this object started."""
+        self.process.kill()
+        self.process.wait(10)
+
+    def stop(self):
+        """Stop it as planned; returns its exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(15)
+
+
+class Site:
+    """A store, instances and daemons on loopback addresses of their own; a context manager."""
+
+    def __init__(self, folder, block, instances=(), vms=("a1",)):
+        self.folder, self.block = folder, block
+        self.store = PlatformStore()
+        self.instances = {name: Instance(name) for name, *_ in instances}
+        self._places = list(instances)
+        self.vms = {}
+        for n, zone in enumerate(vms, 1):
+            self.vms[f"vm-{n}"] = SteeredVm(self, f"vm-{n}", zone, n)
+        self.http = urllib3.PoolManager(retries=False, maxsize=32)
+
+    def __enter__(self):
+        self.store.__enter__()
+        self.store.put("config", "main", platform.CONFIG)
+        for name, service, zone in self._places:
+            instance = self.instances[name]
+            instance.__enter__()
+            self.store.register(name, instance.address, service, zone)
+        return self
+
+    def __exit__(self, *_):
+        for vm in self.vms.values():
+            if vm.process is not None and vm.process.poll() is None:
+                vm.kill()
+        for instance in self.instances.values():
+            instance.__exit__()
+        self.store.set_mode("ok")
+        self.store.__exit__()
+
+    def logs(self):
+        """Return what all daemons have logged."""
+        return "".join(vm.log_path.read_text() for vm in self.vms.values())
+
+    def send(self, vm, path="/read/x", method="GET", host="api.example", request="r-1", **values):
+        """Send one request and return the answer; a fresh connection each."""
+        headers = {
+            "Host": host,
+            "Gypsumwind-Request-Id": request,
+            "Gypsumwind-Affinity-Key": "7",
+            "Gypsumwind-Deadline-Ms": "4000",
+            **values.pop("headers", {}),
+        }
+        return self.http.request(
+            method,
+            f"http://{vm.ip}:{platform.FRONT}{path}",
+            headers=headers,
+            timeout=10,
+            **values,
+        )
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,103 @@
+import random
+
+import pytest
+
+from gypsumwind import feeds
+from gypsumwind.errors import Code, StoreError
+from gypsumwind.feeds import LAPSE_GRACE_S, Changes, FeedTask
+
+
+class Script:
+    """A feed that answers from a list of results."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.waits = []
+
+    def _next(self):
+        result = self.results.pop(0)
+        if isinstance(result, StoreError):
+            raise result
+        return result
+
+    def read(self):
+        return self._next()
+
+    def changes(self, after, wait_s):
+        self.waits.append((after, wait_s))
+        return self._next()
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(feeds, "monotonic", lambda: now[0])
+    return now
+
+
+def task(feed):
+    published = []
+    made = FeedTask("t", feed, 0.5, lambda v, r: published.append((v, r)), random.Random(1))
+    return made, published
+
+
+LOST = StoreError(Code.STORE_UNAVAILABLE, "down")
+GONE = StoreError(Code.STORE_HISTORY_GONE, "gone")
+
+
+def test_changes_are_added_up_and_published_only_if_they_change_anything(clock):
+    made, published = task(
+        Script(Changes({"a": 1}, 1), Changes({"b": 2}, 2), Changes({"b": 2}, 3), Changes({}, 4))
+    )
+    for _ in range(4):
+        made.step()
+    assert published == [({"a": 1}, 1), ({"a": 1, "b": 2}, 2)]
+
+
+def test_empty_first_list_is_published(clock):
+    made, published = task(Script(Changes({}, 1)))
+    made.step()
+    assert published == [({}, 1)]
+
+
+def test_gone_history_leads_to_a_new_list_that_drops_what_is_missing(clock):
+    made, published = task(Script(Changes({"a": 1, "b": 1}, 1), GONE, Changes({"b": 1}, 9)))
+    for _ in range(3):
+        made.step()
+    assert published[-1] == ({"b": 1}, 9)
+
+
+def test_entries_that_lapsed_while_the_store_was_away_have_time_to_return(clock):
+    feed = Script(
+        Changes({"a": 1, "b": 1}, 1),
+        LOST,
+        Changes({"a": None, "b": None}, 5),
+        Changes({"a": 1}, 6),
+        Changes({}, 7),
+    )
+    made, published = task(feed)
+    made.step()
+    made.step()
+    made.step()
+    made.step()
+    assert published == [({"a": 1, "b": 1}, 1)]
+    clock[0] += LAPSE_GRACE_S
+    made.step()
+    assert published[-1] == ({"a": 1}, 7)
+
+
+def test_removal_in_calm_times_counts_at_once(clock):
+    made, published = task(Script(Changes({"a": 1}, 1), Changes({"a": None}, 2)))
+    made.step()
+    made.step()
+    assert published[-1] == ({}, 2)
+
+
+def test_failures_are_repeated_with_a_longer_pause_and_lose_nothing(clock):
+    made, published = task(Script(Changes({"a": 1}, 1), LOST, LOST, LOST, Changes({"c": 3}, 2)))
+    pauses = []
+    for _ in range(5):
+        made.step()
+        pauses.append(made.pause_s())
+    assert pauses[2] > pauses[0] and pauses[4] == 0.5
+    assert published[-1] == ({"a": 1, "c": 3}, 2)
