Settings are read again on a signal and on silent changes; VMs announce themselves in the store

Cause: SIGHUP and silent changes of the settings file had no effect; a VM whose seeds had all been replaced could not find the others. Left: entries of VMs that were lost for good stay in the store.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -246,6 +246,13 @@
         self.fleet = fleet
         self._senders.clear()
 
+    def set_regions(self, regions: Mapping[str, str]) -> None:
+        """Take in which region each zone is in."""
+        self._regions = regions
+        for lane in self._lanes.values():
+            lane.region = regions.get(lane.upstream.zone, "")
+        self._replan()
+
     def set_upstreams(self, found: Iterable[Upstream], now: float, epoch: float) -> None:
         """Take in the list of instances; `epoch` is the same moment by the time of day."""
         lanes = {}
--- a/gypsumwind/core/membership.py
+++ b/gypsumwind/core/membership.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -132,6 +133,11 @@
         self._next_probe = now
         self.version = 0
 
+    def add_seeds(self, seeds: Iterable[Endpoint]) -> None:
+        """Take in more places at which members may be found."""
+        known = {_place(seed) for seed in self._seeds} | {_place(self.me.endpoint)}
+        self._seeds += [seed for seed in seeds if _place(seed) not in known]
+
     def live(self, zone: str | None = None) -> list[Member]:
         """Return the other members that new work may be sent to, of one zone or of all."""
         members = [m for m in self.members.values() if m.usable]
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -26,7 +26,7 @@
 from gypsumwind.fronts import FrontPages
 from gypsumwind.gossip import GossipTask, SpreadTask
 from gypsumwind.hangups import HangupTask
-from gypsumwind.joins import JoinTask
+from gypsumwind.joins import AnnounceTask, JoinTask, Registry
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
@@ -92,10 +92,12 @@
         names: HeaderNames,
         read_load: Any,
         feeds: Feeds,
+        registry: Registry,
     ) -> None:
         self._cfg = cfg
         self._steering = steering
         self._feeds = feeds
+        self._registry = registry
         self._boot = int(wall() * 1000)
         self._rng = random.Random()
         self._stack = ExitStack()
@@ -138,7 +140,11 @@
         self._front = FrontPages(cfg, board, forwarder, self._hangups, metrics, self._names)
         self._server = Server("caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle)
         enter(self._server)
+        self._announce = AnnounceTask(
+            cfg, self._registry, self._me.endpoint, self._members, lambda: not board.members.live()
+        )
         tasks: list[Task] = [
+            self._announce,
             TickTask([self._members, self._dispatch]),
             self._hangups,
             spread,
@@ -183,6 +189,11 @@
         record = Record(key, version, CONFIG_SCOPE, pack_json(doc))
         self._records.tell(msg.PutRecords((record,)))
 
+    def apply(self, steering: SteeringSettings) -> None:
+        """Put changed bounds in force; what runs goes on."""
+        self._steering = steering
+        self._dispatch.tell(msg.SetSteering(steering))
+
     def ready(self) -> bool:
         """Tell whether this VM takes callers: it knows where to send, and does not leave."""
         board = self.board
@@ -206,6 +217,7 @@
         self.board.leaving = True
         self._members.tell(msg.Leave(State.LEAVING))
         log.info("leaving", in_flight=self._front.in_flight.count)
+        threading.Thread(target=self._announce.withdraw, name="withdraw", daemon=True).start()
         time.sleep(STOP_LISTEN_S)
         self._server.close_listener()
         until = began + self._steering.grace_s - STOP_MARGIN_S
@@ -213,4 +225,5 @@
             time.sleep(POLL_S)
         self._members.tell(msg.Leave(State.LEFT))
         time.sleep(TICK_S)
+        self._announce.end()
         log.info("stopped", in_flight=self._front.in_flight.count)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -53,6 +53,11 @@
                 return self._budget(message.service).take(now, len(self._dispatcher.fleet.vms))
             case msg.SyncSteering():
                 self._sync(now)
+            case msg.SetSteering():
+                self._steering = message.steering
+                self._budgets.clear()
+                self._dispatcher.set_regions(message.steering.regions)
+                self._sync(now)
             case msg.Tick():
                 self._tick(now)
         return None
--- a/gypsumwind/joins.py
+++ b/gypsumwind/joins.py
@@ -2,8 +2,13 @@
 
 import threading
 from collections.abc import Callable
+from typing import Protocol
 
+import pykka
+
+from gypsumwind import messages as msg
 from gypsumwind.core.membership import Endpoint
+from gypsumwind.errors import StoreError
 from gypsumwind.gossip import GossipTask
 from gypsumwind.log import Log
 from gypsumwind.peers import PeerError
@@ -14,6 +19,72 @@
 
 JOIN_RETRY_S = 0.5
 
+ALONE_S = 5.0
+"""Period in which a VM that knows no other looks for announced ones."""
+
+ANNOUNCE_RETRY_S = 2.0
+"""Pause after an announcement that the store did not take."""
+
+
+class Registry(Protocol):
+    """Where VMs announce themselves, for those whose seeds are all gone; StoreError if down."""
+
+    def announce(self, vm: str, endpoint: Endpoint) -> None:
+        """Say where a VM is reached."""
+        ...
+
+    def withdraw(self, vm: str) -> None:
+        """Take that back."""
+        ...
+
+    def read(self) -> list[Endpoint]:
+        """Return where the announced VMs are reached."""
+        ...
+
+
+class AnnounceTask(Task):
+    """Announces this VM once, and while it knows no other, looks for announced ones."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        registry: Registry,
+        endpoint: Endpoint,
+        members: pykka.ActorRef,
+        alone: Callable[[], bool],
+    ) -> None:
+        super().__init__("announce", ALONE_S)
+        self._cfg = cfg
+        self._registry = registry
+        self._endpoint = endpoint
+        self._members = members
+        self._alone = alone
+        self._announced = False
+
+    def pause_s(self) -> float:
+        """Return a shorter pause until the announcement is in the store."""
+        return ALONE_S if self._announced else ANNOUNCE_RETRY_S
+
+    def step(self) -> None:
+        """Announce, then find others if none is known."""
+        try:
+            if not self._announced:
+                self._registry.announce(self._cfg.vm, self._endpoint)
+                self._announced = True
+            if self._alone():
+                found = [e for e in self._registry.read() if e.ip != self._endpoint.ip]
+                self._members.tell(msg.AddSeeds(tuple(found)))
+                log.info("seeds-found", count=len(found))
+        except StoreError as exc:
+            log.warning("announce-failed", error=exc.message)
+
+    def withdraw(self) -> None:
+        """Take the announcement back at a planned stop."""
+        try:
+            self._registry.withdraw(self._cfg.vm)
+        except StoreError as exc:
+            log.warning("announce-failed", error=exc.message)
+
 
 class JoinTask(Task):
     """Asks every seed until one has answered, or `loaded` says that the store was read."""
--- a/gypsumwind/members.py
+++ b/gypsumwind/members.py
@@ -27,7 +27,7 @@
         self._published = -1
 
     def on_receive(self, message: Any) -> None:
-        """Handle Tick, Received, Leave and Resume."""
+        """Handle Tick, Received, Leave, AddSeeds and Resume."""
         now = monotonic()
         match message:
             case msg.Tick():
@@ -36,6 +36,8 @@
                 self._send(self._membership.receive(message.message, now))
             case msg.Leave():
                 self._send(self._membership.leave(message.state))
+            case msg.AddSeeds():
+                self._membership.add_seeds(message.seeds)
             case msg.Resume():
                 self._membership.resume()
         self._publish()
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -10,11 +10,12 @@
 from gypsumwind.core.dispatch import ReportedLoad, Wanted
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyEntry
-from gypsumwind.core.membership import Ack, Probe, State
+from gypsumwind.core.membership import Ack, Endpoint, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.upstreams import Upstream
+from gypsumwind.steering import SteeringSettings
 
 ASK_TIMEOUT_S = 5.0
 
@@ -43,6 +44,13 @@
     state: State
 
 
+@dataclass(slots=True, frozen=True)
+class AddSeeds:
+    """To the members actor: more places at which other VMs may be found."""
+
+    seeds: tuple[Endpoint, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class Resume:
     """To the members actor: this VM is no longer leaving."""
@@ -351,3 +359,10 @@
     """To the dispatch actor: may a request to a service be sent once more."""
 
     service: str
+
+
+@dataclass(slots=True, frozen=True)
+class SetSteering:
+    """To the dispatch actor: the operators have changed the bounds."""
+
+    steering: SteeringSettings
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -15,8 +15,9 @@
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
 from gypsumwind.platform.headers import HEADERS, read_load
 from gypsumwind.platform.pages import PlatformPages
+from gypsumwind.platform.reload import ReloadTask
 from gypsumwind.platform.settings import PlatformSettings, read_platform_settings
-from gypsumwind.platform.store import KindFeed, PlatformStore
+from gypsumwind.platform.store import KindFeed, PlatformStore, VmRegistry
 from gypsumwind.servers import Server
 
 SETTINGS_VARIABLE = "GYPSUMWIND_SETTINGS"
@@ -40,16 +41,20 @@
         click.echo("settings are valid")
         return
     start_logging(settings.cfg.log_level)
-    _run(settings)
+    _run(path, settings)
 
 
-def _run(settings: PlatformSettings) -> None:
+def _run(path: str, settings: PlatformSettings) -> None:
     ended = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ended.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
     cfg = settings.cfg
-    daemon = DirectDaemon(cfg, settings.steering, HEADERS, read_load, _feeds(settings))
+    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
+    daemon = DirectDaemon(
+        cfg, settings.steering, HEADERS, read_load, _feeds(store), VmRegistry(store)
+    )
+    reload = ReloadTask(path, settings, daemon.apply)
+    signal.signal(signal.SIGHUP, lambda *_: reload.ask())
     pages = PlatformPages(
         daemon.ready, daemon.look_up, settings.steering.lookup_ttl_s, prometheus_text
     )
@@ -58,14 +63,13 @@
         for name in ("readiness", "directory", "control"):
             ip, port = getattr(settings, name)
             stack.enter_context(Server(name, ip, port, PAGE_THREADS, pages.handle))
+        stack.enter_context(reload)
         ended.wait()
         daemon.stop()
         os._exit(0)
 
 
-def _feeds(settings: PlatformSettings) -> Feeds:
-    cfg = settings.cfg
-    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
+def _feeds(store: PlatformStore) -> Feeds:
     return Feeds(
         rules=KindFeed(store, "config", lambda obj, _: decode_ruleset(obj.spec)),
         upstreams=KindFeed(
--- a/gypsumwind/platform/settings.py
+++ b/gypsumwind/platform/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from gypsumwind.errors import SettingsError
-from gypsumwind.settings import Settings, read_settings
+from gypsumwind.settings import SETTING_BY_NAME, Settings, read_settings
 from gypsumwind.steering import SteeringSettings
 from gypsumwind.utils import split_address
 
@@ -29,6 +29,21 @@
     directory: Address
     control: Address
 
+    def fixed(self) -> dict[str, object]:
+        """Return what a running process cannot change, by the project's own names."""
+        values = {name: getattr(self.cfg, name) for name in SETTING_BY_NAME}
+        return {
+            **values,
+            "readiness": self.readiness,
+            "directory": self.directory,
+            "control": self.control,
+        }
+
+    def differing(self, other: "PlatformSettings") -> list[str]:
+        """Return the names of fixed settings that differ."""
+        theirs = other.fixed()
+        return [name for name, value in self.fixed().items() if value != theirs[name]]
+
 
 def read_platform_settings(path: str) -> PlatformSettings:
     """Read and check the file; SettingsError names every key that is wrong."""
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -9,10 +9,14 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes
+from gypsumwind.log import Log
 from gypsumwind.utils import wall
 
+log = Log("store")
+
 CONNECT_TIMEOUT_S = 1.0
 """Time limit of a connect; the store answers within some milliseconds."""
 
@@ -71,6 +75,33 @@
         except (KeyError, TypeError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"watch of {kind}: {exc!r}") from exc
 
+    def put_whole(self, kind: str, name: str, spec: Any) -> None:
+        """Create an object, or replace it whatever it is; only its one writer may call this."""
+        doc = {"metadata": {"name": name}, "spec": spec}
+        status = self._write("POST", f"/objects/{quote(kind)}", doc)
+        if status == 409:
+            status = self._write("PUT", f"/objects/{quote(kind)}/{quote(name)}", doc)
+        if status not in (200, 201):
+            raise StoreError(Code.STORE_UNAVAILABLE, f"write {kind}/{name}: status {status}")
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object; one that is not there is fine."""
+        status = self._write("DELETE", f"/objects/{quote(kind)}/{quote(name)}", None)
+        if status not in (200, 204, 404):
+            raise StoreError(Code.STORE_UNAVAILABLE, f"delete {kind}/{name}: status {status}")
+
+    def _write(self, method: str, path: str, doc: Any) -> int:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._timeout_s)
+        body = None if doc is None else json.dumps(doc).encode()
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            answer = self._pool.request(
+                method, self._url + path, body=body, headers=headers, timeout=timeout
+            )
+        except HTTPError as exc:
+            raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"{method} {path}: {exc}") from exc
+        return answer.status
+
     def _read(self, kind: str, query: Mapping[str, Any], timeout_s: float | None = None) -> Any:
         text = f"?{urlencode(query)}" if query else ""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s or self._timeout_s)
@@ -136,3 +167,33 @@
             except ValueError as exc:
                 faults.append((obj.name, obj.revision, str(exc)))
         return Changes(values, revision, faults)
+
+
+class VmRegistry:
+    """The entry VMs that have announced themselves, in a kind of the project's own."""
+
+    KIND = "gypsumwind-vms"
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    def announce(self, vm: str, endpoint: Endpoint) -> None:
+        """Write where this VM is reached; the same call again changes nothing."""
+        self._store.put_whole(self.KIND, vm, {"ip": endpoint.ip, "peer_port": endpoint.peer_port})
+
+    def withdraw(self, vm: str) -> None:
+        """Remove this VM's entry."""
+        self._store.delete(self.KIND, vm)
+
+    def read(self) -> list[Endpoint]:
+        """Return where the announced VMs are reached by peers; malformed entries are left out."""
+        found, _ = self._store.read_all(self.KIND)
+        endpoints = []
+        for obj in found:
+            try:
+                endpoint = Endpoint(str(obj.spec["ip"]), 0, 0, int(obj.spec["peer_port"]))
+            except (KeyError, TypeError, ValueError):
+                log.warning("entry-malformed", feed=self.KIND, name=obj.name, error="no address")
+                continue
+            endpoints.append(endpoint)
+        return endpoints
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -2,6 +2,7 @@
 
 import copy
 import os
+import signal
 import socket
 import time
 
@@ -232,6 +233,27 @@
         assert fleet.send(vm, request=f"r-{vm.name}").status == 200
 
 
+def test_hangup_signal_reads_the_settings_and_cuts_nothing(fleet):
+    vm = first(fleet)
+    for up in fleet.instances.values():
+        up.work_s = 0.5
+    vm.path.write_text(vm.path.read_text().replace("coldSlack=5", "coldSlack=7"))
+    vm.process.send_signal(signal.SIGHUP)
+    assert fleet.send(vm).status == 200
+    until(lambda: "settings-read changed=True" in fleet.logs(), text="the change is in force")
+
+
+@pytest.mark.parametrize("fleet", [("a1", "a1")], indirect=True)
+def test_vms_whose_seeds_are_gone_find_each_other_by_the_store(fleet):
+    vms = list(fleet.vms.values())
+    for vm in vms:
+        vm.kill()
+    for vm in vms:
+        vm.start(seeds=("127.0.0.99",))
+    both = {f"{vm.ip}:{platform.FRONT}" for vm in vms}
+    until(lambda: set(vms[0].resolve()) == set(vms[1].resolve()) == both, text="both are named")
+
+
 def test_vm_that_knows_no_configuration_says_503_and_not_404(tmp_path):
     with Site(tmp_path, f"{BLOCK}.9", PLACES) as site:
         site.store.set_mode("busy")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,8 @@
 import pytest
 
+from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
-from gypsumwind.platform.store import KindFeed, PlatformStore
+from gypsumwind.platform.store import KindFeed, PlatformStore, VmRegistry
 from tests.standins import platform
 
 
@@ -74,3 +75,20 @@
     found = KindFeed(client, "servers", decode).read()
     assert found.values == {"odd": None, "i-1": "127.0.0.1:1"}
     assert [(name, text) for name, _, text in found.faults] == [("odd", "no table")]
+
+
+def test_announced_vms_are_found_replaced_and_withdrawn(served, client):
+    registry = VmRegistry(client)
+    registry.announce("vm-1", Endpoint("127.0.0.1", 1, 2, 3))
+    registry.announce("vm-1", Endpoint("127.0.0.2", 1, 2, 3))
+    served.put(VmRegistry.KIND, "odd", ["no address"])
+    assert registry.read() == [Endpoint("127.0.0.2", 0, 0, 3)]
+    registry.withdraw("vm-1")
+    registry.withdraw("vm-1")
+    assert registry.read() == []
+
+
+def test_announcement_that_the_store_refuses_is_an_error(served, client):
+    served.set_mode("busy")
+    with pytest.raises(StoreError):
+        VmRegistry(client).announce("vm-1", Endpoint("127.0.0.1", 1, 2, 3))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -200,6 +200,35 @@
             return
         self._json(200, store.page(kind, query.get("after", "")))
 
+    def do_POST(self):
+        store = self.server.standin
+        doc = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        if self._available(store):
+            kind = unquote(self.path.removeprefix("/objects/"))
+            name = doc["metadata"]["name"]
+            if (kind, name) in store.objects:
+                self._json(409, store.objects[(kind, name)])
+                return
+            store.put(kind, name, doc["spec"])
+            self._json(201, store.objects[(kind, name)])
+
+    def do_PUT(self):
+        store = self.server.standin
+        doc = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        if self._available(store):
+            kind, _, name = unquote(self.path.removeprefix("/objects/")).partition("/")
+            store.put(kind, name, doc["spec"])
+            self._json(200, store.objects[(kind, name)])
+
+    def do_DELETE(self):
+        store = self.server.standin
+        if self._available(store):
+            kind, _, name = unquote(self.path.removeprefix("/objects/")).partition("/")
+            found = (kind, name) in store.objects
+            if found:
+                store.remove(kind, name)
+            self._json(200 if found else 404, {})
+
     def _available(self, store):
         if store.mode == "silent":
             with store.changed:
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -117,9 +117,9 @@
         self.log_path = site.folder / f"{name}.log"
         self.process = None
 
-    def start(self):
+    def start(self, seeds=()):
         """Write the settings and start the process."""
-        seeds = [vm.ip for vm in self.site.vms.values()][:3] or [self.ip]
+        seeds = seeds or [vm.ip for vm in self.site.vms.values()][:3] or [self.ip]
         lines = settings_lines(self.name, self.ip, self.zone, self.site.store.address, seeds)
         self.path.write_text("\n".join(lines))
         env = {**os.environ, "GYPSUMWIND_SETTINGS": str(self.path)}
