--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from gypsumwind.core.placement import Site, homes, site_weights
+from gypsumwind.core.placement import Place, Site, homes, site_weights
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmup import SPACING_S, senders
@@ -222,9 +222,10 @@
     """Places requests, keeps those that wait, and learns from results."""
 
     def __init__(
-        self, region: str, regions: Mapping[str, str], fleet: Fleet, rng: random.Random
+        self, zone: str, regions: Mapping[str, str], fleet: Fleet, rng: random.Random
     ) -> None:
-        self._region = region
+        self._zone = zone
+        self._region = regions.get(zone, "")
         self._regions = regions
         self._rng = rng
         self.fleet = fleet
@@ -249,6 +250,7 @@
     def set_regions(self, regions: Mapping[str, str]) -> None:
         """Take in which region each zone is in."""
         self._regions = regions
+        self._region = regions.get(self._zone, "")
         for lane in self._lanes.values():
             lane.region = regions.get(lane.upstream.zone, "")
         self._replan()
@@ -476,12 +478,11 @@
         found = self._weights.get(scope)
         if found is None:
             sites = [
-                Site(lane.upstream.id, lane.region, lane.upstream.slots)
+                Site(lane.upstream.id, lane.upstream.zone, lane.upstream.slots)
                 for lane in self._lanes.values()
                 if self._allowed(lane, replace(wanted, exclude=frozenset()))
             ]
-            regions = len(wanted.regions or set(self._regions.values()))
-            found = self._weights[scope] = site_weights(sites, self._region, regions)
+            found = self._weights[scope] = site_weights(sites, Place(self._zone, self._regions))
         return found
 
     def _replan(self) -> None:
--- a/gypsumwind/core/placement.py
+++ b/gypsumwind/core/placement.py
@@ -1,9 +1,9 @@
 """Homes of objects: which instances keep a key's object warm, derived alike by all VMs.
 
-Answers to the regions' unequal room: a region whose instances are too few for its callers keeps
-the part of its keys that its room carries, and the homes of the rest lie in regions with room to
-spare. The plan follows the instances listed, not their momentary load, so it changes rarely, and
-with a change of instances only the keys of those move (weighted rendezvous hashing).
+Answers to the zones' unequal room: a zone whose instances are too few for its callers keeps the
+part of its keys that its room carries, and the homes of the rest lie where room is to spare. The
+plan follows the instances listed, not their momentary load, so it changes rarely, and with a
+change of instances only the keys of those move (weighted rendezvous hashing).
 
 Source of the weights: J. Resch, S. Hahn, "Weighted distributed hash tables" (the score
 -w / ln(u) gives each instance a share of the keys in proportion to its weight w).
@@ -16,60 +16,80 @@
 from gypsumwind.core.rendezvous import rank
 
 LOCAL_SHARE = 1.15
-"""Use of a region's own room against the mean of all, before its keys get homes elsewhere."""
+"""Use of a zone's own room against the mean of all, before its keys get homes elsewhere."""
 
 LEAST_WEIGHT = 0.001
-"""Weight of all regions without room to spare, so that each instance has a place in the order."""
+"""Weight of all places without room to spare, so that each instance has a place in the order."""
 
 HASH_RANGE = 2.0**64
 
 
 @dataclass(slots=True, frozen=True)
 class Site:
-    """An instance as a place for homes: its id, region and slots."""
+    """An instance as a place for homes: its id, zone and slots."""
 
     id: str
-    region: str
+    zone: str
     slots: int
 
 
-def region_room(sites: Sequence[Site]) -> dict[str, int]:
-    """Return the slots of each region."""
-    room: dict[str, int] = {}
-    for site in sites:
-        room[site.region] = room.get(site.region, 0) + site.slots
-    return room
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Where callers are: their zone, and the region of every zone of the fleet."""
 
+    zone: str
+    regions: Mapping[str, str]
 
-def local_part(room: Mapping[str, int], region: str, regions: int) -> float:
-    """Return the part of a region's keys that its own instances keep.
 
-    Each of `regions` regions is taken to send as much as any other.
+def zone_shares(room: Mapping[str, int], place: Place) -> dict[str, float]:
+    """Return the part of a zone's keys that each zone's instances keep, by zone; 1 in sum.
+
+    `room` is the slots of each zone. Every zone is taken to send as many requests as any other. A
+    zone keeps what its own room carries; the rest goes to zones with room to spare, first in its
+    region, as far as that lasts for all of the region's zones that are short.
     """
     total = sum(room.values())
     if not total:
-        return 0.0
-    return min(1.0, LOCAL_SHARE * room.get(region, 0) * max(1, regions) / total)
-
-
-def site_weights(sites: Sequence[Site], region: str, regions: int) -> dict[str, float]:
-    """Return the weight of each instance for keys of a region's callers."""
-    room = region_room(sites)
-    total = sum(room.values())
-    part = local_part(room, region, regions)
-    even = total / max(1, regions)
-    spare = {r: max(0.0, 1.0 - even / slots) for r, slots in room.items() if r != region and slots}
-    outside = sum(room[r] * share for r, share in spare.items())
-    weights = {}
+        return {}
+    even = total / max(1, len(place.regions))
+    keeps = {zone: min(1.0, LOCAL_SHARE * room.get(zone, 0) / even) for zone in place.regions}
+    spare = {zone: max(0.0, slots - even) for zone, slots in room.items()}
+    shares = {place.zone: keeps.get(place.zone, 0.0)}
+    rest = 1.0 - shares[place.zone]
+    region = place.regions.get(place.zone, "")
+    near = {z: s for z, s in spare.items() if place.regions.get(z) == region and z != place.zone}
+    short = sum(1.0 - keeps[z] for z, r in place.regions.items() if r == region)
+    if near and rest > 0:
+        taken = min(rest, rest / short * sum(near.values()) / even)
+        _spread(shares, near, taken)
+        rest -= taken
+    _spread(shares, {z: s for z, s in spare.items() if z not in near and z != place.zone}, rest)
+    missing = 1.0 - sum(shares.values())
+    if missing > 0:
+        _spread(shares, dict(room), missing)
+    return shares
+
+
+def _spread(shares: dict[str, float], spare: Mapping[str, float], part: float) -> None:
+    total = sum(spare.values())
+    for zone, room in spare.items() if total > 0 else ():
+        shares[zone] = shares.get(zone, 0.0) + part * room / total
+
+
+def site_weights(sites: Sequence[Site], place: Place) -> dict[str, float]:
+    """Return the weight of each instance for the keys of callers at a place."""
+    room: dict[str, int] = {}
     for site in sites:
-        if site.region == region:
-            weight = part * site.slots / max(1, room[region])
-        elif outside > 0:
-            weight = (1.0 - part) * site.slots * spare[site.region] / outside
-        else:
-            weight = (1.0 - part) * site.slots / max(1, total - room.get(region, 0))
-        weights[site.id] = max(LEAST_WEIGHT * site.slots / total, weight)
-    return weights
+        room[site.zone] = room.get(site.zone, 0) + site.slots
+    shares = zone_shares(room, place)
+    total = sum(room.values())
+    return {
+        site.id: max(
+            LEAST_WEIGHT * site.slots / total,
+            shares.get(site.zone, 0.0) * site.slots / room[site.zone],
+        )
+        for site in sites
+    }
 
 
 def homes(key: str, weights: Mapping[str, float]) -> list[str]:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -28,7 +28,7 @@
         self._cfg = cfg
         self._steering = steering
         self._board = board
-        self._dispatcher = Dispatcher(cfg.region, steering.regions, self._fleet(), rng)
+        self._dispatcher = Dispatcher(cfg.zone, steering.regions, self._fleet(), rng)
         self._futures: dict[int, Future] = {}
         self._budgets: dict[str, RepeatBudget] = {}
 
--- a/gypsumwind/metrics.py
+++ b/gypsumwind/metrics.py
@@ -6,6 +6,7 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from gypsumwind.log import counts
 from gypsumwind.traffic import control
 
 OTHER_TENANT = "other"
@@ -32,6 +33,16 @@
             callbacks=[lambda options: [Observation(control.total)]],
             description="bytes sent and received between daemons for control",
         )
+        meter.create_observable_counter(
+            "gypsumwind_log_lines_not_written",
+            callbacks=[
+                lambda options: [
+                    Observation(counts.suppressed, {"reason": "suppressed"}),
+                    Observation(counts.dropped, {"reason": "dropped"}),
+                ]
+            ],
+            description="log lines that were not written",
+        )
         self._max_tenants = max_tenants
         self._tenants: set[str] = set()
 
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -10,7 +10,7 @@
 
 from gypsumwind.direct import DirectDaemon, Feeds
 from gypsumwind.errors import SettingsError
-from gypsumwind.log import start_logging
+from gypsumwind.log import end_logging, start_logging
 from gypsumwind.metrics import prometheus_text
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
 from gypsumwind.platform.headers import HEADERS, read_load
@@ -66,6 +66,7 @@
         stack.enter_context(reload)
         ended.wait()
         daemon.stop()
+        end_logging()
         os._exit(0)
 
 
