--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -71,7 +71,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Wanted:
-    """A request to be placed; `deadline` is the latest useful answer on the VM's clock."""
+    """A request to be placed; `deadline` is the latest useful answer on the VM's clock.
+
+    Objects are shared by the callers of a region, so homes are planned for regions; a `bulky`
+    request has its home in its zone, where its body crosses no link between zones.
+    """
 
     ticket: int
     service: str
@@ -80,6 +84,7 @@
     deadline: float
     regions: frozenset[str] = frozenset()
     exclude: frozenset[str] = frozenset()
+    bulky: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -234,8 +239,8 @@
         self._lanes: dict[str, Lane] = {}
         self._services: dict[str, _ServiceState] = {}
         self._senders: dict[str, list[str]] = {}
-        self._plans: dict[tuple[str, str, frozenset[str]], Mapping[str, int]] = {}
-        self._weights: dict[tuple[str, frozenset[str]], Mapping[str, float]] = {}
+        self._plans: dict[tuple[str, str, frozenset[str], bool], Mapping[str, int]] = {}
+        self._weights: dict[tuple[str, frozenset[str], bool], Mapping[str, float]] = {}
 
     @property
     def lanes(self) -> Mapping[str, Lane]:
@@ -463,7 +468,7 @@
 
     def _order(self, wanted: Wanted) -> Mapping[str, int]:
         """Return the place of the homes of a key among the instances that it may use."""
-        plan = (wanted.service, wanted.key, wanted.regions)
+        plan = (wanted.service, wanted.key, wanted.regions, wanted.bulky)
         found = self._plans.get(plan)
         if found is None:
             if len(self._plans) >= MAX_PLANS:
@@ -474,15 +479,18 @@
         return found
 
     def _weights_for(self, wanted: Wanted) -> Mapping[str, float]:
-        scope = (wanted.service, wanted.regions)
+        scope = (wanted.service, wanted.regions, wanted.bulky)
         found = self._weights.get(scope)
         if found is None:
-            sites = [
-                Site(lane.upstream.id, lane.upstream.zone, lane.upstream.slots)
-                for lane in self._lanes.values()
-                if self._allowed(lane, replace(wanted, exclude=frozenset()))
-            ]
-            found = self._weights[scope] = site_weights(sites, Place(self._zone, self._regions))
+            anyone = replace(wanted, exclude=frozenset())
+            lanes = [lane for lane in self._lanes.values() if self._allowed(lane, anyone)]
+            if wanted.bulky:
+                place = Place(self._zone, self._regions)
+                sites = [Site(la.upstream.id, la.upstream.zone, la.upstream.slots) for la in lanes]
+            else:
+                place = Place(self._region, {region: region for region in self._regions.values()})
+                sites = [Site(la.upstream.id, la.region, la.upstream.slots) for la in lanes]
+            found = self._weights[scope] = site_weights(sites, place)
         return found
 
     def _replan(self) -> None:
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -12,7 +12,7 @@
 from gypsumwind.board import Board
 from gypsumwind.calls import HOP_BY_HOP, Answer
 from gypsumwind.core.dispatch import Decision, Outcome, Placed, Refused, Wanted
-from gypsumwind.core.rules import Rule
+from gypsumwind.core.rules import Kind, Rule
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.exchanges import Exchanger, Request, Sent
@@ -103,6 +103,7 @@
                 req.deadline,
                 rule.regions,
                 exclude,
+                rule.kind is Kind.UPLOAD,
             )
             placed = self._place(wanted, req)
             if isinstance(placed, RequestError):
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -49,6 +49,20 @@
         assert len(found) == 1
 
 
+def test_callers_of_a_region_share_homes_and_bulky_requests_stay_in_their_zone():
+    ups = [upstream(f"{zone}-{n}", zone) for zone in ("a1", "a2") for n in range(4)]
+    found = {}
+    for zone in ("a1", "a2"):
+        made = Dispatcher(zone, ZONES, Fleet("vm-1", VMS, 1.5, 5.0), random.Random(1))
+        made.set_upstreams(ups, 0.0, 1000.0)
+        for bulky in (False, True):
+            placed = [made.place(wanted(n, f"k{n}", bulky=bulky), 0.0) for n in range(8)]
+            found[zone, bulky] = [p.upstream.id for p in placed]
+    assert found["a1", False] == found["a2", False]
+    assert {name[:2] for name in found["a1", True]} == {"a1"}
+    assert {name[:2] for name in found["a2", True]} == {"a2"}
+
+
 def test_full_homes_make_a_request_wait_rather_than_run_cold_on_a_busy_instance():
     made = dispatcher([upstream(f"i{n}") for n in range(3)])
     placed = place_many(made, 2 * int(4 * FULL_SHARE) + 2)
