A VM that returns from a cut does not bring back what its peers knew to be leaving

Change: a feed starts a new list from what peers told, if that is newer; connections to the store have keep-alive probes, so that a silent one ends within three seconds. Test: tests/test_feeds.py, failing before.

--- a/gypsumwind/connections.py
+++ b/gypsumwind/connections.py
@@ -23,11 +23,26 @@
 SILENCE_MS = 2500
 """Time without an acknowledgement after which a connection ends, in milliseconds."""
 
-SOCKET_OPTIONS = [
+KEEPALIVE_S = 1
+"""Idle time before a keep-alive probe, and the time between two of them, in seconds."""
+
+KEEPALIVE_PROBES = 2
+"""Probes without an answer after which a connection ends."""
+
+SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
 ]
 
+WAITING_OPTIONS = [
+    *SOCKET_OPTIONS,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
+"""For connections that wait long for an answer: a silent one ends within three seconds."""
+
 
 class _Idle:
     __slots__ = ("conn", "since", "keep_s")
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -171,7 +171,14 @@
         feeds, rng = self._feeds, self._rng
         return [
             FeedTask("rules", feeds.rules, QUIET_PACE_S, self._put_rules, rng),
-            FeedTask("upstreams", feeds.upstreams, UPSTREAMS_PACE_S, self._put_upstreams, rng),
+            FeedTask(
+                "upstreams",
+                feeds.upstreams,
+                UPSTREAMS_PACE_S,
+                self._put_upstreams,
+                rng,
+                lambda: (self.board.upstreams.by_id or {}, self.board.upstreams.revision),
+            ),
             FeedTask("closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed, rng),
         ]
 
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -50,8 +50,10 @@
 class FeedTask(Task):
     """Follows a feed and hands on the whole list after each change.
 
-    `pace_s` is the least time between two calls, so that frequent changes come in batches. An
-    entry that is missing from a list read after a failure is kept for `LAPSE_GRACE_S`.
+    What peers told meanwhile is `known`, with its revision: a list that is newer than the last one
+    read here takes its place, so that nothing older comes back. `pace_s` is the least time between
+    two calls, so that frequent changes come in batches. An entry that is missing from a list read
+    after a failure is kept for `LAPSE_GRACE_S`.
     """
 
     def __init__(
@@ -61,15 +63,18 @@
         pace_s: float,
         publish: Callable[[Mapping[str, Any], int], None],
         rng: random.Random,
+        known: Callable[[], tuple[Mapping[str, Any], int]] = lambda: ({}, 0),
     ) -> None:
         super().__init__(f"feed-{name}", pace_s)
         self._feed = feed
         self._pace_s = pace_s
         self._publish = publish
         self._rng = rng
+        self._known = known
         self._values: dict[str, Any] = {}
         self._missing: dict[str, float] = {}
         self._revision: int | None = None
+        self._newest = 0
         self._retry_s = 0.0
         self._lost = False
         self._grace_until = 0.0
@@ -94,6 +99,9 @@
 
     def _read(self) -> None:
         found = self._feed.read()
+        known, revision = self._known()
+        if revision > self._newest:
+            self._values = dict(known)
         gone = {name: None for name in self._values if name not in found.values}
         self._take(Changes({**gone, **found.values}, found.revision, found.faults))
 
@@ -101,13 +109,13 @@
         self._regained()
         self._log_faults(found)
         changed = self._revision is None
+        self._revision = self._newest = found.revision
         for name, value in found.values.items():
             changed |= self._set(name, value)
         for name, until in list(self._missing.items()):
             if monotonic() >= until:
                 del self._missing[name]
                 changed |= self._values.pop(name, None) is not None
-        self._revision = found.revision
         if changed:
             self._publish(dict(self._values), found.revision)
 
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -9,6 +9,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from gypsumwind.connections import WAITING_OPTIONS
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes
@@ -44,7 +45,11 @@
         self._url = url
         self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(
-            retries=False, maxsize=4, block=False, source_address=(ip, 0)
+            retries=False,
+            maxsize=4,
+            block=False,
+            source_address=(ip, 0),
+            socket_options=WAITING_OPTIONS,
         )
 
     def read_all(self, kind: str) -> tuple[list[StoredObject], int]:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -101,3 +101,23 @@
         pauses.append(made.pause_s())
     assert pauses[2] > pauses[0] and pauses[4] == 0.5
     assert published[-1] == ({"a": 1, "c": 3}, 2)
+
+
+def test_what_peers_told_meanwhile_does_not_come_back_after_a_cut(clock):
+    """A VM cut off from the store learnt from a peer that b is leaving and a is gone."""
+    peers = [({}, 0)]
+    feed = Script(Changes({"a": "ready", "b": "ready"}, 47), LOST, GONE, Changes({}, 53))
+    published = []
+    made = FeedTask(
+        "t",
+        feed,
+        0.5,
+        lambda v, r: published.append((v, r)),
+        random.Random(1),
+        lambda: peers[0],
+    )
+    made.step()
+    peers[0] = ({"b": "leaving"}, 51)
+    for _ in range(3):
+        made.step()
+    assert published[-1] == ({"b": "leaving"}, 53)
