--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumwind.core.placement import LOCAL_SHARE, Place, Site, homes, site_weights, area_shares
+from gypsumwind.core.placement import LOCAL_SHARE, Place, Site, area_shares, homes, site_weights
 
 REGIONS = {"a1": "a", "a2": "a", "k1": "k", "k2": "k", "t1": "t", "t2": "t"}
 ROOM = {"a1": 4, "a2": 4, "k1": 1, "k2": 1, "t1": 3, "t2": 3}
