Requests sent ahead on a connection are begun at once and answered in order

Ruled out: waiting at the instances (load under the slots there), distance. Change: pipelines.py reads what has arrived behind a request without a body while that one is served, and begins it if its rule may repeat; answers keep their order, a malformed request is refused in its turn, a caller that leaves ends all of them, a planned stop answers what was begun. An answer that closes a connection lingers for 0.3 s, so that unread bytes do not reset it.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -32,6 +32,7 @@
 from gypsumwind.metrics import Metrics
 from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY
 from gypsumwind.peers import PeerServer, PeerService, ProbeListener
+from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
 from gypsumwind.servers import Server
 from gypsumwind.settings import Settings
@@ -138,7 +139,10 @@
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         forwarder = Forwarder(board, self._dispatch, self._exchanger, self._names, metrics)
         self._front = FrontPages(cfg, board, forwarder, self._hangups, metrics, self._names)
-        self._server = Server("caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle)
+        connections = connection_class(self._front.begin, lambda: not board.leaving)
+        self._server = Server(
+            "caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle, connections
+        )
         enter(self._server)
         self._announce = AnnounceTask(
             cfg, self._registry, self._me.endpoint, self._members, lambda: not board.members.live()
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -1,12 +1,14 @@
 """The port for callers on the direct way: every request on it is to be forwarded."""
 
 from gypsumwind.board import Board
+from gypsumwind.calls import Answer
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.forwarders import Forwarder
-from gypsumwind.hangups import HangupTask
+from gypsumwind.hangups import CancelScope, HangupTask
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
+from gypsumwind.pipelines import AheadRequest
 from gypsumwind.servers import Exchange, InFlight, internal_error
 from gypsumwind.settings import Settings
 from gypsumwind.steering import HeaderNames
@@ -21,6 +23,20 @@
 """When to come back to a VM that has as many requests as it can hold."""
 
 
+class Served:
+    """What became of a request before it is written to its caller."""
+
+    __slots__ = ("arrived", "entered", "rule", "verdict", "answer", "error")
+
+    def __init__(self, arrived: float, entered: bool) -> None:
+        self.arrived = arrived
+        self.entered = entered
+        self.rule = "none"
+        self.verdict = Verdict.MAY_HAVE_RUN
+        self.answer: Answer | None = None
+        self.error: RequestError | None = None
+
+
 class FrontPages:
     """Answers callers: an instance's answer unchanged, or an error that says what is known."""
 
@@ -42,37 +58,74 @@
         self.in_flight = InFlight(cfg.threads - SPARE_THREADS)
 
     def handle(self, ex: Exchange) -> None:
-        """Answer one request."""
-        arrived = monotonic()
-        rule_name, code = "none", "cut"
-        verdict = Verdict.MAY_HAVE_RUN
-        entered = self.in_flight.enter()
+        """Answer one request, in its turn on its connection."""
+        served: Served = ex.begun.result() if ex.begun else self._serve(ex)
+        code = "cut"
         try:
-            if not entered:
+            with self._hangups.watching(ex.socket):
+                code = self._reply(ex, served)
+        finally:
+            self._leave(served)
+            seconds = monotonic() - served.arrived
+            self._metrics.request(served.rule, "-", "-", served.verdict.value, code, seconds)
+
+    def begin(self, req: AheadRequest) -> None:
+        """Begin a request that was read ahead of its turn, if it may be repeated."""
+        ex = Exchange(req)
+        try:
+            rule = self._forwarder.rule_for(ex)
+        except RequestError:
+            return
+        if not rule.kind.repeatable:
+            return
+        scope = CancelScope()
+        ex.begun = req.conn.helpers.submit(self._serve, ex, scope)
+        ex.abandoned = lambda: self._abandon(ex, scope)
+        req.exchange = ex
+
+    def _abandon(self, ex: Exchange, scope: CancelScope) -> None:
+        scope.cancel()
+        assert ex.begun is not None
+        ex.begun.add_done_callback(lambda fut: self._drop(fut.result()))
+
+    def _drop(self, served: "Served") -> None:
+        if served.answer is not None:
+            served.answer.end(False)
+        self._leave(served)
+
+    def _serve(self, ex: Exchange, scope: CancelScope | None = None) -> "Served":
+        """Get the answer to a request, or the error; nothing is written yet."""
+        served = Served(monotonic(), self.in_flight.enter())
+        try:
+            if not served.entered:
                 text = "too many requests are in flight at this VM"
                 raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
             rule = self._forwarder.rule_for(ex)
-            rule_name = rule.name
-            with self._hangups.watching(ex.socket):
-                answer = self._forwarder.serve(ex, rule, arrived)
-                verdict, code = answer.verdict, str(answer.status)
-                ex.send_answer(answer, self._cfg.vm, self._board.leaving)
+            served.rule = rule.name
+            with self._hangups.watching(ex.socket, ex.more, scope):
+                served.answer = self._forwarder.serve(ex, rule, served.arrived)
+                served.verdict = served.answer.verdict
         except RequestError as exc:
-            verdict, code = exc.verdict, exc.code.value
-            self._send_error(ex, exc)
-        except OSError:
-            raise
+            served.error = exc
         except Exception as exc:
-            if ex.started:
-                raise
-            fault = internal_error(exc)
-            code = fault.code.value
-            self._send_error(ex, fault)
-        finally:
-            if entered:
-                self.in_flight.leave()
-            seconds = monotonic() - arrived
-            self._metrics.request(rule_name, "-", "-", verdict.value, code, seconds)
+            served.error = internal_error(exc)
+        if served.error is not None:
+            served.verdict = served.error.verdict
+        return served
+
+    def _reply(self, ex: Exchange, served: "Served") -> str:
+        """Write the answer; returns its status or the code of the error."""
+        if served.answer is not None:
+            ex.send_answer(served.answer, self._cfg.vm, self._board.leaving)
+            return str(served.answer.status)
+        assert served.error is not None
+        self._send_error(ex, served.error)
+        return served.error.code.value
+
+    def _leave(self, served: "Served") -> None:
+        if served.entered:
+            served.entered = False
+            self.in_flight.leave()
 
     def _send_error(self, ex: Exchange, exc: RequestError) -> None:
         log.info(
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -4,7 +4,7 @@
 import select
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any, Protocol
 
@@ -101,35 +101,55 @@
 
     def __init__(self) -> None:
         super().__init__("hangup", SWEEP_S)
-        self._waiting: dict[socket.socket, CancelScope] = {}
+        self._waiting: dict[CancelScope, tuple[socket.socket, Callable[[], None] | None]] = {}
 
     @contextmanager
-    def watching(self, sock: socket.socket) -> Iterator[CancelScope]:
-        """Cancel the work of this block when the caller's socket is closed by its end."""
-        scope = CancelScope()
+    def watching(
+        self,
+        sock: socket.socket,
+        more: Callable[[], None] | None = None,
+        scope: CancelScope | None = None,
+    ) -> Iterator[CancelScope]:
+        """Cancel the work of this block when the caller's socket is closed by its end.
+
+        `more` is called while bytes lie unread on the socket; another may cancel a `scope` given.
+        """
+        scope = scope or CancelScope()
         token = _scope.set(scope)
-        self._waiting[sock] = scope
+        self._waiting[scope] = (sock, more)
         try:
             yield scope
         finally:
-            self._waiting.pop(sock, None)
+            self._waiting.pop(scope, None)
             _scope.reset(token)
 
     def step(self) -> None:
         """Cancel for every socket that its caller has closed, with one look at all of them."""
-        waiting = list(self._waiting.items())
         poll = select.poll()
-        by_fd: dict[int, tuple[socket.socket, CancelScope]] = {}
-        for sock, scope in waiting:
+        by_fd: dict[int, list[tuple[CancelScope, Callable[[], None] | None]]] = {}
+        socks: dict[int, socket.socket] = {}
+        for scope, (sock, more) in list(self._waiting.items()):
             fd = sock.fileno()
             if fd >= 0:
-                by_fd[fd] = (sock, scope)
+                by_fd.setdefault(fd, []).append((scope, more))
+                socks[fd] = sock
                 poll.register(fd, HANGUP_EVENTS)
         for fd, events in poll.poll(0) if by_fd else ():
-            sock, scope = by_fd[fd]
-            if events & ~select.POLLIN or _at_end(sock):
-                self._waiting.pop(sock, None)
+            self._look(socks[fd], events, by_fd[fd])
+
+    def _look(
+        self,
+        sock: socket.socket,
+        events: int,
+        waiting: list[tuple[CancelScope, Callable[[], None] | None]],
+    ) -> None:
+        gone = events & ~select.POLLIN or _at_end(sock)
+        for scope, more in waiting:
+            if gone:
+                self._waiting.pop(scope, None)
                 scope.cancel()
+            elif more is not None:
+                more()
 
 
 def _at_end(sock: socket.socket) -> bool:
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import Future
 from contextlib import suppress
 from http import HTTPStatus
 from traceback import format_tb
@@ -12,7 +13,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
 from gypsumwind.calls import (
     H_CODE,
@@ -33,17 +34,35 @@
 SOCKET_TIMEOUT_S = 30
 SMALL_REST_BYTES = 65536
 LINGER_S = 2.0
+"""Longest time for which the rest of a refused body is read, in seconds."""
+
+CLOSE_LINGER_S = 0.3
+"""The same after an answer that closes the connection: a caller closes at once on reading it."""
+
 CONTROL_THREADS = 8
 
 
 class Exchange:
     """One HTTP request with the means to answer it."""
 
-    __slots__ = ("method", "path", "query", "headers", "body", "target", "started", "_req")
+    __slots__ = (
+        "method",
+        "path",
+        "query",
+        "headers",
+        "body",
+        "target",
+        "started",
+        "begun",
+        "abandoned",
+        "_req",
+    )
 
     def __init__(self, req: Any) -> None:
         self._req = req
         self.started = False
+        self.begun: Future | None = None
+        self.abandoned: Callable[[], None] | None = None
         self.method = req.method.decode("ascii", "replace")
         self.target = req.uri.decode("latin-1")
         self.path, _, query = self.target.partition("?")
@@ -65,6 +84,22 @@
         """Return the caller's socket."""
         return self._req.conn.socket
 
+    def more(self) -> None:
+        """More bytes of the caller have arrived while this request is served."""
+        more = getattr(self._req.conn, "more", None)
+        if more is not None:
+            more()
+
+    def abandon(self) -> None:
+        """The connection is gone before the turn of this request, which was begun."""
+        if self.abandoned is not None:
+            self.abandoned()
+
+    @property
+    def followed(self) -> bool:
+        """Tell whether requests that were read ahead wait behind this one."""
+        return bool(getattr(self._req.conn, "ahead", ()))
+
     def send_json(self, status: int, doc: Any) -> None:
         """Answer with a JSON document."""
         data = (json.dumps(doc, indent=2) + "\n").encode()
@@ -85,12 +120,15 @@
             headers += [(H_VERDICT, answer.verdict.value), (H_VM, vm)]
             if answer.instance:
                 headers.append((H_INSTANCE, answer.instance))
+            closing = closing and not self.followed
             if closing or self.body.unread:
                 self._req.close_connection = True
             self._start(answer.status, headers, answer.length)
             for chunk in answer.chunks:
                 self._req.write(chunk)
             whole = True
+            if closing:
+                self._linger(CLOSE_LINGER_S)
         except RequestError as exc:
             raise ConnectionAbortedError(exc.message) from exc
         finally:
@@ -104,7 +142,7 @@
         With `fractions`, for callers that read them, the time to come back is not rounded.
         """
         rest = self._skip_body()
-        if closing:
+        if closing and not self.followed:
             self._req.close_connection = True
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
@@ -120,7 +158,7 @@
         self._start(exc.status, headers, len(data))
         self._req.write(data)
         if rest:
-            self._linger()
+            self._linger(LINGER_S)
 
     def _skip_body(self) -> bool:
         """Read a small rest of the body; tell whether a large one is left on the connection."""
@@ -134,13 +172,13 @@
             self._req.rfile.read(remaining)
         return False
 
-    def _linger(self) -> None:
+    def _linger(self, seconds: float) -> None:
         """Read on for a while after the answer: a reset would take the answer along."""
-        until = time.monotonic() + LINGER_S
+        until = time.monotonic() + seconds
         with suppress(Exception):
             self._req.conn.wfile.flush()
-            self.socket.settimeout(LINGER_S)
-            while time.monotonic() < until and self._req.rfile.read(SMALL_REST_BYTES):
+            self.socket.settimeout(seconds)
+            while time.monotonic() < until and self.socket.recv(SMALL_REST_BYTES):
                 continue
 
     def _start(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
@@ -192,15 +230,24 @@
 class Server:
     """An HTTP server with a fixed pool of threads that passes requests to a handler."""
 
-    def __init__(self, name: str, ip: str, port: int, threads: int, handler: Handler) -> None:
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        port: int,
+        threads: int,
+        handler: Handler,
+        connections: type[HTTPConnection] = HTTPConnection,
+    ) -> None:
         class HandlerGateway(Gateway):
             """Passes one request to the handler."""
 
             def respond(self) -> None:
                 """Handle the request."""
-                handler(Exchange(self.req))
+                handler(getattr(self.req, "exchange", None) or Exchange(self.req))
 
         self._http = _Server((ip, port), HandlerGateway, minthreads=threads, maxthreads=threads)
+        self._http.ConnectionClass = connections
         self._http.request_queue_size = BACKLOG
         self._http.timeout = SOCKET_TIMEOUT_S
         self._http.server_name = "gypsumwind"
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -166,6 +166,75 @@
     assert ran(fleet, "r-2")[0][2] == "/read/%2f2"
 
 
+def ask_ahead(vm, requests):
+    """Send requests on one connection without waiting; returns the open socket."""
+    sock = socket.create_connection((vm.ip, platform.FRONT))
+    sock.settimeout(10)
+    for name, line in requests:
+        sock.sendall(
+            f"{line} HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Request-Id: {name}\r\n"
+            f"Gypsumwind-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        time.sleep(0.1)
+    return sock
+
+
+def read_until(sock, done):
+    data = b""
+    while not done(data) and (part := sock.recv(65536)):
+        data += part
+    return data
+
+
+def test_requests_sent_ahead_run_at_the_same_time(fleet):
+    for up in fleet.instances.values():
+        up.work_s = 2.0
+    asked = [(f"r-{n}", f"GET /read/{n}") for n in range(4)]
+    with ask_ahead(first(fleet), asked) as sock:
+        until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 4, timeout=1.8)
+        data = read_until(sock, lambda d: d.endswith(b"r-3\n"))
+    places = [data.index(f"signed.r-{n}".encode()) for n in range(4)]
+    assert places == sorted(places) and data.count(b"200 OK") == 4
+
+
+def test_request_that_may_not_repeat_waits_for_its_turn(fleet):
+    for up in fleet.instances.values():
+        up.work_s = 1.0
+    with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "POST /book/1")]) as sock:
+        until(lambda: ran(fleet, "r-0"))
+        time.sleep(0.5)
+        assert not ran(fleet, "r-1")
+        data = read_until(sock, lambda d: d.endswith(b"r-1\n"))
+    assert data.count(b"200 OK") == 2 and len(ran(fleet, "r-1")) == 1
+
+
+def test_caller_that_leaves_ends_also_what_it_sent_ahead(fleet):
+    for up in fleet.instances.values():
+        up.work_s = 5.0
+    with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "GET /read/1")]):
+        until(lambda: ran(fleet, "r-0") and ran(fleet, "r-1"))
+    until(lambda: sum(len(up.broken_off) for up in fleet.instances.values()) == 2)
+
+
+def test_malformed_request_sent_ahead_is_answered_in_its_turn(fleet):
+    for up in fleet.instances.values():
+        up.work_s = 1.0
+    with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "GET nowhere")]) as sock:
+        data = read_until(sock, lambda d: b" 400 " in d)
+    assert data.index(b"signed.r-0") < data.index(b" 400 ")
+
+
+def test_planned_stop_answers_what_was_begun_ahead(fleet):
+    vm = first(fleet)
+    for up in fleet.instances.values():
+        up.work_s = 1.5
+    with ask_ahead(vm, [("r-0", "GET /read/0"), ("r-1", "GET /read/1")]) as sock:
+        until(lambda: ran(fleet, "r-0") and ran(fleet, "r-1"))
+        assert vm.stop() == 0
+        data = read_until(sock, lambda d: False)
+    assert data.count(b"200 OK") == 2 and b"Connection: close" in data
+
+
 def test_route_times_out_with_an_answer(fleet):
     doc = copy.deepcopy(platform.CONFIG)
     doc["version"] = "0000000d"
