An instance whose entry lapses and returns keeps its count and its cold spacing

Cause: a state machine over the dispatcher (tests/core/test_dispatch_machine.py) found two faults: an entry that changes its zone kept the region of the old one (a request bound to regions went to another); an entry that left the list and returned lost its sends in flight and the time of its last cold send, so the spacing of cold sends broke. Ruled out: an incarnation that falls, which the store cannot show; the machine lets it only rise. Change: the region follows the entry; instances that left the list are remembered for 30 s.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -79,6 +79,9 @@
 RATE_WINDOW_S = 1.0
 """Time over which the requests placed are counted, to tell how long a queue will last."""
 
+REMEMBER_S = 30.0
+"""Time for which an instance that left the list is remembered: its entry may have lapsed only."""
+
 MAX_WAITING = 400
 """Requests that wait here at most; beyond it they are refused at once."""
 
@@ -168,9 +171,9 @@
         "leaving",
     )
 
-    def __init__(self, upstream: Upstream, region: str) -> None:
+    def __init__(self, upstream: Upstream) -> None:
         self.upstream = upstream
-        self.region = region
+        self.region = ""
         self.own = 0
         self.others = 0.0
         self.mean_others = 0.0
@@ -271,6 +274,7 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.closed_zones: frozenset[str] = frozenset()
         self._lanes: dict[str, Lane] = {}
+        self._gone: dict[str, tuple[Lane, float]] = {}
         self._services: dict[str, _ServiceState] = {}
         self._senders: dict[str, list[str]] = {}
         self._plans: dict[tuple[str, str, frozenset[str], bool], tuple[str, ...]] = {}
@@ -298,17 +302,25 @@
         """Take in the list of instances; `epoch` is the same moment by the time of day."""
         lanes = {}
         for up in found:
-            lane = self._lanes.get(up.id)
+            lane = self._known(up.id)
             if lane is None or lane.upstream.incarnation != up.incarnation:
-                lane = Lane(up, self._regions.get(up.zone, ""))
+                lane = Lane(up)
             lane.upstream = up
+            lane.region = self._regions.get(up.zone, "")
             lane.leaving = up.draining
             if up.cold_until > epoch:
                 lane.cold_until = max(lane.cold_until, now + up.cold_until - epoch)
             lanes[up.id] = lane
+        kept = now - REMEMBER_S
+        self._gone = {name: (la, at) for name, (la, at) in self._gone.items() if at > kept}
+        self._gone |= {name: (la, now) for name, la in self._lanes.items() if name not in lanes}
         self._lanes = lanes
         self._replan()
 
+    def _known(self, name: str) -> Lane | None:
+        """Return what is known of an instance, also if it has left the list lately."""
+        return self._lanes.get(name) or self._gone.get(name, (None, 0.0))[0]
+
     def set_closed_zones(self, zones: frozenset[str], now: float) -> None:
         """Take in the zones that get nothing; those taken back are taken to be cold."""
         for lane in self._lanes.values():
@@ -339,7 +351,7 @@
         now: float,
     ) -> None:
         """Take in the end of a send: its outcome, the load that the answer told, its time."""
-        lane = self._lanes.get(upstream.id)
+        lane = self._known(upstream.id)
         if lane is None or lane.upstream.incarnation != upstream.incarnation:
             return
         lane.own = max(0, lane.own - 1)
