A planned stop takes no request that it does not wait for

Ruled out: the grace (3.5 s were left), the instance (it was at work). Change: with the listener, idle connections are closed (the server's own expiry, 0.5 s); after a second the process waits for what is in flight, then refuses what still comes, waits once more, and ends. Test: tests/integration/test_direct.py, a request late on a kept connection at six offsets; two of six failed before (2.05 s and 2.1 s), none after.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -34,7 +34,7 @@
 from gypsumwind.peers import PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
-from gypsumwind.servers import Server
+from gypsumwind.servers import EXPIRE_S, Server
 from gypsumwind.settings import Settings
 from gypsumwind.steering import HeaderNames, SteeringSettings
 from gypsumwind.tasks import Task
@@ -223,7 +223,11 @@
         return entries_for(entries, self._steering.regions, region, zone, homes)
 
     def stop(self) -> None:
-        """Leave: out of look-ups, no new connections, then finish what is in flight."""
+        """Leave: out of look-ups, no new connections, then finish what is in flight.
+
+        Idle connections are closed before the end, and what still comes is refused, so that no
+        request is taken by a process that no longer waits for its answer.
+        """
         began = monotonic()
         self.board.leaving = True
         self._members.tell(msg.Leave(State.LEAVING))
@@ -231,10 +235,17 @@
         threading.Thread(target=self._announce.withdraw, name="withdraw", daemon=True).start()
         time.sleep(STOP_LISTEN_S)
         self._server.close_listener()
+        time.sleep(2 * EXPIRE_S)
         until = began + self._steering.grace_s - STOP_MARGIN_S
-        while self._front.in_flight.count and monotonic() < until:
-            time.sleep(POLL_S)
+        self._wait_idle(until)
+        self._front.ending = True
         self._members.tell(msg.Leave(State.LEFT))
-        time.sleep(TICK_S)
         self._announce.end()
+        time.sleep(TICK_S)
+        self._wait_idle(until)
         log.info("stopped", in_flight=self._front.in_flight.count)
+
+    def _wait_idle(self, until: float) -> None:
+        """Wait for the requests in flight, until the time for the stop has run out."""
+        while self._front.in_flight.count and monotonic() < until:
+            time.sleep(POLL_S)
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -19,6 +19,9 @@
 SPARE_THREADS = 8
 """Threads that stay free to refuse what is beyond the limit."""
 
+ENDING_RETRY_S = 0.1
+"""When to come back, to another VM, after this one has stopped."""
+
 BUSY_RETRY_S = 0.5
 """When to come back to a VM that has as many requests as it can hold."""
 
@@ -56,6 +59,7 @@
         self._metrics = metrics
         self._names = names
         self.in_flight = InFlight(cfg.threads - SPARE_THREADS)
+        self.ending = False
 
     def handle(self, ex: Exchange) -> None:
         """Answer one request, in its turn on its connection."""
@@ -100,6 +104,9 @@
             if not served.entered:
                 text = "too many requests are in flight at this VM"
                 raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
+            if self.ending:
+                text = "this VM stops"
+                raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, ENDING_RETRY_S)
             rule = self._forwarder.rule_for(ex)
             served.rule = rule.name
             with self._hangups.watching(ex.socket, ex.more, scope):
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -41,6 +41,9 @@
 
 CONTROL_THREADS = 8
 
+EXPIRE_S = 0.5
+"""Period in which the server closes connections that have been idle for too long."""
+
 
 class Exchange:
     """One HTTP request with the means to answer it."""
@@ -251,6 +254,7 @@
         self._http.request_queue_size = BACKLOG
         self._http.timeout = SOCKET_TIMEOUT_S
         self._http.server_name = "gypsumwind"
+        self._http.expiration_interval = EXPIRE_S
         self._http.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
 
@@ -258,8 +262,9 @@
         self._http.serve()
 
     def close_listener(self) -> None:
-        """Take no more new connections; those that are open are served on."""
+        """Take no more new connections; those that are idle are closed within `EXPIRE_S`."""
         self._http.close_listener()
+        self._http.timeout = 0
 
     def __enter__(self) -> "Server":
         self._http.prepare()
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -4,7 +4,9 @@
 import os
 import signal
 import socket
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -224,6 +226,39 @@
     assert data.index(b"signed.r-0") < data.index(b" 400 ")
 
 
+def ask_late(vm, name, stopped, offset):
+    """Use a kept connection once, then again some time into a stop; returns the second answer."""
+    line = f"GET /read/x HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Request-Id: {name}"
+    with socket.create_connection((vm.ip, platform.FRONT)) as sock:
+        sock.settimeout(10)
+        sock.sendall(f"{line}-first\r\n\r\n".encode())
+        read_until(sock, lambda d: d.endswith(b"-first\n"))
+        stopped.wait()
+        time.sleep(offset)
+        try:
+            sock.sendall(f"{line}\r\n\r\n".encode())
+            return read_until(sock, lambda d: d.endswith(f"{name}\n".encode()) or b" 503 " in d)
+        except OSError:
+            return b""
+
+
+@pytest.mark.parametrize("offset", [0.5, 2.05, 2.1, 2.5, 3.0, 3.1])
+def test_planned_stop_cuts_no_request_that_comes_late_on_a_kept_connection(fleet, offset):
+    vm = first(fleet)
+    stopped = threading.Event()
+    with ThreadPoolExecutor(40) as pool:
+        late = [pool.submit(ask_late, vm, f"r-{n}", stopped, offset) for n in range(40)]
+        until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 40)
+        for up in fleet.instances.values():
+            up.work_s = 0.3
+        vm.process.send_signal(signal.SIGTERM)
+        stopped.set()
+        answers = [fut.result() for fut in late]
+    assert vm.process.wait(15) == 0
+    cut = [n for n in range(40) if ran(fleet, f"r-{n}") and b" 200 OK" not in answers[n]]
+    assert not cut
+
+
 def test_planned_stop_answers_what_was_begun_ahead(fleet):
     vm = first(fleet)
     for up in fleet.instances.values():
