--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 setup: $(VENV)/.ready
 
 test: setup
-	$(PY) -m pytest -q -p tests.known_red -n 2 --dist loadfile
+	$(PY) -m pytest -q -p tests.known_red -n 3 --dist loadfile
 
 lint: setup
 	$(VENV)/bin/black --check -q gypsumwind tests bench
