--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -208,3 +208,20 @@
     made.set_closed_zones(frozenset(), 5.0)
     assert made.lanes["i1"].cold_until == 8.0
     assert made.lanes["i2"].cold_until < 0
+
+
+def test_instance_that_closed_a_connection_but_is_still_listed_as_ready_is_used_again():
+    """Some answers close their connection although the instance stays."""
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    made.set_leaving(upstream("i1"))
+    now = 30.0
+    found = {made.place(wanted(n, f"k{n}", deadline=60.0), now).upstream.id for n in range(4)}
+    assert found == {"i1", "i2"}
+
+
+def test_instance_whose_address_another_has_is_left_out_until_its_entry_changes():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    gone = made.place(wanted(1), 0.0).upstream
+    made.finish(gone, Outcome.MISDIRECTED, None, 0.01, 0.1)
+    found = {made.place(wanted(n), 0.2).upstream.id for n in range(2, 5)}
+    assert gone.id not in found
