--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -128,7 +128,7 @@
         poll = select.poll()
         by_fd: dict[int, list[tuple[CancelScope, Callable[[], None] | None]]] = {}
         socks: dict[int, socket.socket] = {}
-        for scope, (sock, more) in list(self._waiting.items()):
+        for scope, (sock, more) in self._waiting.copy().items():
             fd = sock.fileno()
             if fd >= 0:
                 by_fd.setdefault(fd, []).append((scope, more))
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -41,6 +41,9 @@
 
 CONTROL_THREADS = 8
 
+DEFAULT_RETRY_S = 1.0
+"""When to come back after a refusal that does not say: the least that whole seconds can tell."""
+
 EXPIRE_S = 0.5
 """Period in which the server closes connections that have been idle for too long."""
 
@@ -155,8 +158,11 @@
             (H_CODE, exc.code.value),
             (H_VM, vm),
         ]
-        if exc.retry_after_s is not None:
-            wait = f"{exc.retry_after_s:.2f}" if fractions else max(1, round(exc.retry_after_s))
+        retry_s = exc.retry_after_s
+        if retry_s is None and exc.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_s = DEFAULT_RETRY_S
+        if retry_s is not None:
+            wait = f"{retry_s:.2f}" if fractions else max(1, round(retry_s))
             headers.append(("Retry-After", str(wait)))
         self._start(exc.status, headers, len(data))
         self._req.write(data)
