--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -329,10 +329,6 @@
         self.closed_zones = zones
         self._replan()
 
-    def knows_upstreams(self) -> bool:
-        """Tell whether any instance is known."""
-        return bool(self._lanes)
-
     def place(self, wanted: Wanted, now: float) -> Decision | None:
         """Return where a request goes, a refusal, or None: it waits for room."""
         state = self._state(wanted.service)
