A closed connection and a 421 tell what they tell; lower classes leave threads to the highest

Cause: (1) an answer with Connection: close left its instance out until the list changed, though instances that stay close a connection now and then. When the machine is slow, requests of class low that wait for slots take the 56 threads, and class high is refused unseen. Traced beside six busy processes: of the refused requests of class high all but one said "too many requests are in flight at this VM".

Ruled out: flaps of the membership (none in these runs); the queue's order (those refused never reached it).

Change: (1) such an instance is left out for two seconds, if there is another; (2) it is left out until its entry changes or comes back; (3) each class leaves a fifth of the threads to those above, the lowest uses half. The same on the direct way, where the rule is now found first.

Conclusion: a limit that is blind to classes undoes the queue's order behind it.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -72,6 +72,13 @@
 MAX_EJECT_S = 8.0
 """First and longest time for which an instance is left out; doubled while its trials fail."""
 
+LEAVING_S = 2.0
+"""Time for which an instance is left out whose answer closed its connection.
+
+By then the list tells whether it stops, a heartbeat and a call later; if not, it only closed
+that connection, as instances that stay do now and then.
+"""
+
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
 """Bounds of what a refused caller is told to wait, in seconds."""
@@ -169,6 +176,7 @@
         "cold_until",
         "cold_next",
         "leaving",
+        "misdirected",
     )
 
     def __init__(self, upstream: Upstream) -> None:
@@ -184,6 +192,12 @@
         self.cold_until = -math.inf
         self.cold_next = -math.inf
         self.leaving = False
+        self.misdirected = False
+
+    @property
+    def listed(self) -> bool:
+        """Tell whether the entry holds: the instance stays, and is where the entry says."""
+        return not self.leaving and not self.misdirected
 
     def load(self, now: float) -> float:
         """Return the requests that the instance is taken to have: own ones and other VMs'."""
@@ -202,6 +216,7 @@
 
     def observe(self, outcome: str, now: float) -> None:
         """Take in how a send ended."""
+        self.misdirected |= outcome == Outcome.MISDIRECTED
         if outcome in (Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE):
             return
         bad = outcome != Outcome.OK
@@ -219,6 +234,10 @@
         self.eject_s = min(MAX_EJECT_S, 2 * self.eject_s)
         self.failures = EJECT_ABOVE
 
+    def leave_out(self, until: float) -> None:
+        """Leave the instance out, if there is another, for a reason that is no failure."""
+        self.ejected_until = max(self.ejected_until, until)
+
 
 @dataclass(slots=True)
 class _Waiting:
@@ -305,6 +324,8 @@
             lane = self._known(up.id)
             if lane is None or lane.upstream.incarnation != up.incarnation:
                 lane = Lane(up)
+            elif up.id not in self._lanes or _address(up) != _address(lane.upstream):
+                lane.misdirected = False
             lane.upstream = up
             lane.region = self._regions.get(up.zone, "")
             lane.leaving = up.draining
@@ -354,18 +375,19 @@
         if report is not None:
             lane.hear(report, now)
         lane.observe(outcome, now)
+        if outcome == Outcome.MISDIRECTED:
+            self._replan()
         if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
             self._suspect_cold(lane, now)
         if outcome == Outcome.OK:
             state = self._state(upstream.service)
             state.work_s += WORK_WEIGHT * (seconds - state.work_s)
 
-    def set_leaving(self, upstream: Upstream) -> None:
-        """An answer told that the instance is leaving."""
+    def hear_close(self, upstream: Upstream, now: float) -> None:
+        """An answer closed its connection: the instance may be leaving."""
         lane = self._lanes.get(upstream.id)
         if lane is not None and lane.upstream.incarnation == upstream.incarnation:
-            lane.leaving = True
-            self._replan()
+            lane.leave_out(now + LEAVING_S)
 
     def cancel(self, ticket: int) -> None:
         """Forget a request that waits."""
@@ -461,7 +483,7 @@
         up = lane.upstream
         return (
             up.service == wanted.service
-            and not lane.leaving
+            and lane.listed
             and up.zone not in self.closed_zones
             and up.id not in wanted.exclude
             and (not wanted.regions or lane.region in wanted.regions)
@@ -576,3 +598,7 @@
         if state is None:
             state = self._services[service] = _ServiceState()
         return state
+
+
+def _address(up: Upstream) -> tuple[str, int]:
+    return up.ip, up.port
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -72,8 +72,8 @@
             self._decide(wanted.ticket, decision, now)
 
     def _ended(self, message: msg.SendEnded, now: float) -> None:
-        if message.leaving:
-            self._dispatcher.set_leaving(message.upstream)
+        if message.closing:
+            self._dispatcher.hear_close(message.upstream, now)
         self._dispatcher.finish(
             message.upstream, message.outcome, message.report, message.seconds, now
         )
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -45,13 +45,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Sent:
-    """How a send ended: an answer that may go to the caller, or an error with its verdict."""
+    """How a send ended: an answer that may go to the caller, or an error with its verdict.
+
+    `closing` tells that the answer closed its connection.
+    """
 
     outcome: str
     answer: Answer | None = None
     error: RequestError | None = None
     report: ReportedLoad | None = None
-    leaving: bool = False
+    closing: bool = False
     seconds: float = 0.0
 
 
@@ -80,7 +83,7 @@
             conn.close()
             raise
         seconds = monotonic() - started
-        return Sent(sent.outcome, sent.answer, sent.error, sent.report, sent.leaving, seconds)
+        return Sent(sent.outcome, sent.answer, sent.error, sent.report, sent.closing, seconds)
 
     def _connect(self, conn: TrackedConnection, kept: bool, req: Request) -> Sent | None:
         left = req.deadline - monotonic()
@@ -157,7 +160,7 @@
     def _read(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Sent:
         names, headers = self._names, response.headers
         report = self._read_load(headers.get(names.load, ""))
-        leaving = "close" in headers.get("connection", "").lower()
+        closing = _closes(response)
         answered_id = headers.get(names.request_id)
         if answered_id is not None and answered_id != req.id:
             conn.close()
@@ -172,14 +175,14 @@
             text = f"instance answered {response.status}, not run"
             error = RequestError(Code.UPSTREAM_REFUSED, text, Verdict.NOT_RUN, 503)
             outcome = Outcome.MISDIRECTED if misdirected else Outcome.SHED
-            return Sent(outcome, None, error, report, leaving)
+            return Sent(outcome, None, error, report, closing)
         success = 200 <= response.status < 300
         if success and (names.signature not in headers or answered_id is None):
             whole.end(False)
             text = "a success without the instance's signature or the request's id"
             return _failed(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
         outcome = Outcome.FAILED if response.status >= 500 else Outcome.OK
-        return Sent(outcome, whole, None, report, leaving)
+        return Sent(outcome, whole, None, report, closing)
 
     def _body(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Answer:
         """Return the answer; up to BUFFER_BYTES of its body have been read."""
@@ -213,8 +216,7 @@
             yield chunk
 
     def _keep(self, conn: TrackedConnection, response: HTTPResponse) -> None:
-        closing = "close" in response.headers.get("connection", "").lower()
-        if conn.sock is None or closing:
+        if conn.sock is None or _closes(response):
             conn.close()
             return
         conn.rest()
@@ -231,6 +233,10 @@
         raise RequestError(Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502) from exc
 
 
+def _closes(response: HTTPResponse) -> bool:
+    return "close" in response.headers.get("connection", "").lower()
+
+
 def _nothing() -> None:
     return
 
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -173,7 +173,7 @@
             sent = self._exchanger.send(up, req)
         finally:
             self._dispatch.tell(
-                msg.SendEnded(up, sent.outcome, sent.report, sent.seconds, sent.leaving)
+                msg.SendEnded(up, sent.outcome, sent.report, sent.seconds, sent.closing)
             )
         log.info(
             "request-sent",
@@ -190,6 +190,7 @@
             status=sent.answer.status if sent.answer else 0,
             error=sent.error.message if sent.error else "",
             took_s=round(sent.seconds, 3),
+            closing=sent.closing,
         )
         return sent
 
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -2,6 +2,7 @@
 
 from gypsumwind.board import Board
 from gypsumwind.calls import Answer
+from gypsumwind.core.rules import Rule
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.forwarders import Forwarder
@@ -31,9 +32,9 @@
 
     __slots__ = ("arrived", "entered", "rule", "verdict", "answer", "error")
 
-    def __init__(self, arrived: float, entered: bool) -> None:
+    def __init__(self, arrived: float) -> None:
         self.arrived = arrived
-        self.entered = entered
+        self.entered = False
         self.rule = "none"
         self.verdict = Verdict.MAY_HAVE_RUN
         self.answer: Answer | None = None
@@ -99,16 +100,9 @@
 
     def _serve(self, ex: Exchange, scope: CancelScope | None = None) -> "Served":
         """Get the answer to a request, or the error; nothing is written yet."""
-        served = Served(monotonic(), self.in_flight.enter())
+        served = Served(monotonic())
         try:
-            if not served.entered:
-                text = "too many requests are in flight at this VM"
-                raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
-            if self.ending:
-                text = "this VM stops"
-                raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, ENDING_RETRY_S)
-            rule = self._forwarder.rule_for(ex)
-            served.rule = rule.name
+            rule = self._enter(ex, served)
             with self._hangups.watching(ex.socket, ex.more, scope):
                 served.answer = self._forwarder.serve(ex, rule, served.arrived)
                 served.verdict = served.answer.verdict
@@ -120,6 +114,22 @@
             served.verdict = served.error.verdict
         return served
 
+    def _enter(self, ex: Exchange, served: "Served") -> Rule:
+        """Count a request in and return its rule; an error of its rule is counted in as well."""
+        rank = 0
+        try:
+            rule = self._forwarder.rule_for(ex)
+            served.rule, rank = rule.name, rule.priority
+        finally:
+            served.entered = self.in_flight.enter(rank)
+        if not served.entered:
+            text = "too many requests are in flight at this VM"
+            raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
+        if self.ending:
+            text = "this VM stops"
+            raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, ENDING_RETRY_S)
+        return rule
+
     def _reply(self, ex: Exchange, served: "Served") -> str:
         """Write the answer; returns its status or the code of the error."""
         if served.answer is not None:
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -351,7 +351,7 @@
     outcome: str
     report: ReportedLoad | None
     seconds: float
-    leaving: bool
+    closing: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -93,6 +93,14 @@
         raise _bad(f"{H_CLASS}: {text!r} is not high, normal or low") from None
 
 
+def _rank(ex: Exchange) -> int:
+    """Return the class of a request before it is read; a name that is none counts as lowest."""
+    try:
+        return _priority(ex.headers.get(H_CLASS, "normal"))
+    except RequestError:
+        return Priority.LOW
+
+
 def _deadline(cfg: Settings, headers: Mapping[str, str]) -> float:
     """Return the deadline on this process's clock.
 
@@ -163,7 +171,7 @@
             )
 
     def _serve(self, ex: Exchange, service: str, path: str) -> tuple[Verdict, str]:
-        if not self.in_flight.enter():
+        if not self.in_flight.enter(_rank(ex)):
             return self._send_error(ex, self._early(_key(ex), self._busy()))
         try:
             return self._serve_watched(ex, service, path)
@@ -259,7 +267,7 @@
 
     def handle(self, ex: Exchange) -> None:
         """Answer one hand-off."""
-        if not self.in_flight.enter():
+        if not self.in_flight.enter(_rank(ex)):
             text = "too many hand-offs are in flight at this VM"
             wait = jittered(BUSY_RETRY_S, self._rng)
             exc = RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, wait)
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -44,6 +44,13 @@
 DEFAULT_RETRY_S = 1.0
 """When to come back after a refusal that does not say: the least that whole seconds can tell."""
 
+RANK_SHARE = 0.2
+"""Part of a VM's threads that each class leaves to those above it: more than the highest class
+of the planned loads needs, a fifth of three times the capacity for as long as a request takes."""
+
+LEAST_SHARE = 0.5
+"""Part that the lowest class may use."""
+
 EXPIRE_S = 0.5
 """Period in which the server closes connections that have been idle for too long."""
 
@@ -287,7 +294,11 @@
 
 
 class InFlight:
-    """Counts requests in flight and refuses those beyond a limit."""
+    """Counts requests in flight and refuses those beyond a limit, the lowest classes first.
+
+    Without that, requests of low classes that wait for room take all threads of an overloaded VM,
+    and those of the highest class are refused unseen. A class of rank 0 is the highest.
+    """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
@@ -299,10 +310,14 @@
         """Return the requests in flight."""
         return self._count
 
-    def enter(self) -> bool:
-        """Count one in; False when the limit is reached."""
+    def room(self, rank: int) -> int:
+        """Return how many requests may be in flight before one of a class is refused."""
+        return int(self._limit * max(LEAST_SHARE, 1.0 - RANK_SHARE * rank))
+
+    def enter(self, rank: int = 0) -> bool:
+        """Count one in; False when the limit of its class is reached."""
         with self._lock:
-            if self._count >= self._limit:
+            if self._count >= self.room(rank):
                 return False
             self._count += 1
             return True
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -118,7 +118,7 @@
 
 def test_answer_that_says_close_stops_new_work_before_the_list_does():
     made = dispatcher([upstream("i1"), upstream("i2")])
-    made.set_leaving(upstream("i1"))
+    made.hear_close(upstream("i1"), 0.0)
     found = [made.place(wanted(n, f"k{n}"), 0.0) for n in range(4)]
     assert {p.upstream.id for p in found} == {"i2"}
 
@@ -210,13 +210,31 @@
     assert made.lanes["i2"].cold_until < 0
 
 
+def served_at(made, now, count=6):
+    """Return the instances at which requests of several keys are placed."""
+    return {made.place(wanted(n, f"k{n}", deadline=60.0), now).upstream.id for n in range(count)}
+
+
 def test_instance_that_closed_a_connection_but_is_still_listed_as_ready_is_used_again():
     """Some answers close their connection although the instance stays."""
     made = dispatcher([upstream("i1"), upstream("i2")])
-    made.set_leaving(upstream("i1"))
-    now = 30.0
-    found = {made.place(wanted(n, f"k{n}", deadline=60.0), now).upstream.id for n in range(4)}
-    assert found == {"i1", "i2"}
+    made.hear_close(upstream("i1"), 0.0)
+    assert served_at(made, 30.0) == {"i1", "i2"}
+
+
+def test_answer_that_closes_its_connection_takes_no_instance_that_is_the_only_one():
+    made = dispatcher([upstream("i1")])
+    made.hear_close(upstream("i1"), 0.0)
+    assert served_at(made, 0.1, 3) == {"i1"}
+
+
+def test_address_of_another_instance_is_used_again_once_its_entry_changes():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    made.finish(upstream("i1"), Outcome.MISDIRECTED, None, 0.01, 0.1)
+    assert served_at(made, 0.2, 2) == {"i2"}
+    moved = Upstream("i1", 1, "s", "127.0.0.9", 1, "a1", 4)
+    made.set_upstreams([moved, upstream("i2")], 1.0, 1001.0)
+    assert served_at(made, 1.1) == {"i1", "i2"}
 
 
 def test_instance_whose_address_another_has_is_left_out_until_its_entry_changes():
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -6,7 +6,7 @@
 
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
-from gypsumwind.servers import Server
+from gypsumwind.servers import InFlight, Server
 
 PORT = 18499
 
@@ -41,3 +41,19 @@
 def test_other_errors_say_nothing_of_it(answer):
     exc = RequestError(Code.UPSTREAM_FAILED, "cut", Verdict.MAY_HAVE_RUN, 502)
     assert "Retry-After" not in answer(exc)
+
+
+@pytest.mark.parametrize("low", [1, 2, 7])
+def test_requests_of_lower_classes_leave_room_for_the_highest(low):
+    """An overloaded VM: all that come stay in flight until the limit refuses them."""
+    in_flight = InFlight(50)
+    taken = sum(in_flight.enter(low) for _ in range(200))
+    assert 25 <= taken <= 40
+    assert all(in_flight.enter(0) for _ in range(10))
+
+
+def test_requests_in_flight_never_pass_the_limit():
+    in_flight = InFlight(50)
+    assert sum(in_flight.enter(rank % 3) for rank in range(300)) == in_flight.count == 50
+    in_flight.leave()
+    assert in_flight.enter(0) and not in_flight.enter(0)
