Callers' limits of the configuration are in force; one base for calls to a store

The two store clients repeated how a call ends.

Change: heads.py bounds the time of a head (408, which says that the request has not run), the HTTP server the size (413) and the idle time; a new connection waits for its first bytes without a thread. StoreCalls holds what both forms of the store share; a connect that failed now counts as not sent in the platform's form as well.

Conclusion: limits are checked before a request costs anything.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -26,6 +26,7 @@
 from gypsumwind.fronts import FrontPages
 from gypsumwind.gossip import GossipTask, SpreadTask
 from gypsumwind.hangups import HangupTask
+from gypsumwind.heads import HeadReads
 from gypsumwind.joins import AnnounceTask, JoinTask, Registry
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
@@ -49,7 +50,7 @@
 """The same for what changes rarely."""
 
 SWEEP_S = 1.0
-"""Period in which idle connections that are too old are closed."""
+"""Period in which connections that are idle or slow for too long are ended."""
 
 STOP_LISTEN_S = 2.0
 """Time at a stop for which new connections are still taken: callers' look-ups run out."""
@@ -61,15 +62,28 @@
 
 
 class SweepTask(Task):
-    """Closes idle connections to instances in time."""
+    """Ends what is too old: idle connections to instances, callers that send too slowly.
 
-    def __init__(self, connections: Connections) -> None:
+    The limits of the configuration for callers take effect within a period.
+    """
+
+    def __init__(
+        self, connections: Connections, heads: HeadReads, server: Server, board: Board
+    ) -> None:
         super().__init__("sweep", SWEEP_S)
         self._connections = connections
+        self._heads = heads
+        self._server = server
+        self._board = board
 
     def step(self) -> None:
-        """Close those that are too old."""
+        """Apply the limits, and end what is beyond them."""
+        rules = self._board.rules
+        if rules is not None:
+            self._heads.limit_s = rules.limits.header_s
+            self._server.set_limits(rules.limits)
         self._connections.sweep()
+        self._heads.sweep()
 
 
 class Feeds:
@@ -139,7 +153,8 @@
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         forwarder = Forwarder(board, self._dispatch, self._exchanger, self._names, metrics)
         self._front = FrontPages(cfg, board, forwarder, self._hangups, metrics, self._names)
-        connections = connection_class(self._front.begin, lambda: not board.leaving)
+        heads = HeadReads()
+        connections = connection_class(self._front.begin, lambda: not board.leaving, heads)
         self._server = Server(
             "caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle, connections
         )
@@ -153,7 +168,7 @@
             self._hangups,
             spread,
             gossip,
-            SweepTask(self._connections),
+            SweepTask(self._connections, heads, self._server, board),
             JoinTask(cfg, gossip, lambda: board.rules is not None, self._joined),
             *self._feed_tasks(),
         ]
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -13,6 +13,7 @@
 
 from cheroot.server import HTTPConnection, HTTPRequest, KnownLengthRFile
 
+from gypsumwind.heads import HeadRead, HeadReads
 from gypsumwind.log import Log
 
 log = Log("pipelines")
@@ -23,6 +24,9 @@
 HELPERS = 48
 """Threads for requests that are begun ahead of their turn."""
 
+TOO_SLOW = "408 Request Timeout"
+"""Answer to a head that did not come in time: the request has not run."""
+
 Begin = Callable[["AheadRequest"], None]
 
 
@@ -35,6 +39,7 @@
         self.begun: Future | None = None
         self._read_ahead = False
         self._refusal: tuple[str, str] | None = None
+        self._head: HeadRead | None = None
 
     @property
     def bodiless(self) -> bool:
@@ -45,20 +50,30 @@
     def read_ahead(self) -> None:
         """Read the request before its turn; an answer to a malformed one waits for its turn."""
         self._read_ahead = True
-        super().parse_request()
+        self._read_head()
         if self.ready and self.bodiless:
             self.rfile = KnownLengthRFile(self.conn.rfile, 0)
 
     def parse_request(self) -> None:
         """Read the request, unless that was done; now an answer may be given."""
         if not self._read_ahead:
-            super().parse_request()
+            self._read_head()
         elif self._refusal is not None:
             self._read_ahead = False
             super().simple_response(*self._refusal)
 
+    def _read_head(self) -> None:
+        """Read the head of the request in the time that callers have for it."""
+        with self.conn.heads.reading(self.conn.socket) as self._head:
+            super().parse_request()
+        if self._head.cut and self.ready:
+            self.ready = False
+            self.simple_response(TOO_SLOW)
+
     def simple_response(self, status: str, msg: str = "") -> None:
-        """Answer a malformed request, in its turn."""
+        """Answer a request that is malformed or came too slowly, in its turn."""
+        if self._head is not None and self._head.cut:
+            status, msg = TOO_SLOW, ""
         if self._read_ahead and not self.ready:
             self._refusal = (status, msg)
             self.close_connection = True
@@ -97,6 +112,7 @@
     helpers: ThreadPoolExecutor
     begin: Begin
     allowed: Callable[[], bool]
+    heads: HeadReads
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -162,11 +178,18 @@
         super().close()
 
 
-def connection_class(begin: Begin, allowed: Callable[[], bool]) -> type[AheadConnection]:
+def connection_class(
+    begin: Begin, allowed: Callable[[], bool], heads: HeadReads
+) -> type[AheadConnection]:
     """Return the class of a server's connections; `begin` starts a request, `allowed` permits."""
     helpers = ThreadPoolExecutor(HELPERS, thread_name_prefix="ahead")
     return type(
         "AheadConnection",
         (AheadConnection,),
-        {"helpers": helpers, "begin": staticmethod(begin), "allowed": staticmethod(allowed)},
+        {
+            "helpers": helpers,
+            "begin": staticmethod(begin),
+            "allowed": staticmethod(allowed),
+            "heads": heads,
+        },
     )
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -1,26 +1,20 @@
 """A client of the platform's store of objects by kind and name, over HTTP."""
 
-import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
-import urllib3
-from urllib3.exceptions import HTTPError
-
 from gypsumwind.connections import WAITING_OPTIONS
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes
 from gypsumwind.log import Log
+from gypsumwind.stores import StoreCalls
 from gypsumwind.utils import wall
 
 log = Log("store")
 
-CONNECT_TIMEOUT_S = 1.0
-"""Time limit of a connect; the store answers within some milliseconds."""
-
 WATCH_MARGIN_S = 3.0
 """Time beyond the wait of a watch after which the connection counts as silent."""
 
@@ -42,15 +36,7 @@
     """Calls to the store; StoreError tells whether a call may have been done."""
 
     def __init__(self, url: str, timeout_s: float, ip: str) -> None:
-        self._url = url
-        self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(
-            retries=False,
-            maxsize=4,
-            block=False,
-            source_address=(ip, 0),
-            socket_options=WAITING_OPTIONS,
-        )
+        self._calls = StoreCalls(url, timeout_s, ip, WAITING_OPTIONS)
 
     def read_all(self, kind: str) -> tuple[list[StoredObject], int]:
         """Return the objects of a kind and the revision that they are of, page after page."""
@@ -83,43 +69,26 @@
     def put_whole(self, kind: str, name: str, spec: Any) -> None:
         """Create an object, or replace it whatever it is; only its one writer may call this."""
         doc = {"metadata": {"name": name}, "spec": spec}
-        status = self._write("POST", f"/objects/{quote(kind)}", doc)
+        status, _ = self._calls.write("POST", f"/objects/{quote(kind)}", doc)
         if status == 409:
-            status = self._write("PUT", f"/objects/{quote(kind)}/{quote(name)}", doc)
+            path = f"/objects/{quote(kind)}/{quote(name)}"
+            status, _ = self._calls.write("PUT", path, doc)
         if status not in (200, 201):
             raise StoreError(Code.STORE_UNAVAILABLE, f"write {kind}/{name}: status {status}")
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object; one that is not there is fine."""
-        status = self._write("DELETE", f"/objects/{quote(kind)}/{quote(name)}", None)
+        status, _ = self._calls.write("DELETE", f"/objects/{quote(kind)}/{quote(name)}", None)
         if status not in (200, 204, 404):
             raise StoreError(Code.STORE_UNAVAILABLE, f"delete {kind}/{name}: status {status}")
 
-    def _write(self, method: str, path: str, doc: Any) -> int:
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._timeout_s)
-        body = None if doc is None else json.dumps(doc).encode()
-        headers = {"Content-Type": "application/json"} if body else {}
-        try:
-            answer = self._pool.request(
-                method, self._url + path, body=body, headers=headers, timeout=timeout
-            )
-        except HTTPError as exc:
-            raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"{method} {path}: {exc}") from exc
-        return answer.status
-
     def _read(self, kind: str, query: Mapping[str, Any], timeout_s: float | None = None) -> Any:
         text = f"?{urlencode(query)}" if query else ""
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s or self._timeout_s)
-        url = f"{self._url}/objects/{quote(kind)}{text}"
-        try:
-            answer = self._pool.request("GET", url, timeout=timeout)
-            doc = json.loads(answer.data) if answer.status == 200 else None
-        except (HTTPError, ValueError) as exc:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: {exc}") from exc
-        if answer.status == 410:
+        status, doc = self._calls.read(f"/objects/{quote(kind)}{text}", timeout_s)
+        if status == 410:
             raise StoreError(Code.STORE_HISTORY_GONE, f"read {kind}: the history is gone")
-        if not isinstance(doc, dict):
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: status {answer.status}")
+        if status != 200 or not isinstance(doc, dict):
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: status {status}")
         return doc
 
 
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers on cheroot: one for callers and operators, one for hand-offs of other VMs."""
 
 import json
+import math
 import sys
 import threading
 import time
@@ -23,6 +24,7 @@
     Answer,
     Body,
 )
+from gypsumwind.core.rules import CallerLimits
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.log import Log
@@ -236,6 +238,13 @@
         if isinstance(fault, Exception) and not isinstance(fault, OSError):
             internal_error(fault)
 
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Queue a connection for a thread, a new one when the first bytes of it are here."""
+        if conn.last_used is None:
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
     def close_listener(self) -> None:
         """Take no more connections; the library has no call for this short of a full stop."""
         sock = self.socket
@@ -270,12 +279,21 @@
         self._http.expiration_interval = EXPIRE_S
         self._http.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
+        self._listens = True
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Bound what callers may send, and how long their connections may be idle."""
+        self._http.max_request_header_size = limits.header_bytes
+        self._http.max_request_body_size = limits.body_bytes
+        if self._listens:
+            self._http.timeout = math.ceil(limits.idle_s)
 
     def _serve(self) -> None:
         self._http.serve()
 
     def close_listener(self) -> None:
         """Take no more new connections; those that are idle are closed within `EXPIRE_S`."""
+        self._listens = False
         self._http.close_listener()
         self._http.timeout = 0
 
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -1,19 +1,25 @@
 """The platform's object API: a Protocol, and its HTTP form that docs/platform.md gives."""
 
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
 
 import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.util import Timeout
 
 from gypsumwind.errors import Code, StoreError
 
 WATCH_MARGIN_S = 2.0
 PAGE_OBJECTS = 50
 
+CONNECT_TIMEOUT_S = 1.0
+"""Time limit of a connect; a store answers within some milliseconds."""
+
+SocketOptions = Sequence[tuple[int, int, int | bytes]]
+
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
@@ -74,17 +80,73 @@
         ...
 
 
-class HttpStore:
-    """The platform's store over HTTP."""
+class StoreCalls:
+    """Calls to a store over HTTP, with the errors that any of them may end with."""
 
-    def __init__(self, url: str, timeout_s: float, ip: str | None = None) -> None:
-        source = (ip, 0) if ip else None
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float,
+        ip: str | None = None,
+        socket_options: SocketOptions | None = None,
+    ) -> None:
         self._url = url
         self._timeout_s = timeout_s
+        options: dict[str, Any] = {} if socket_options is None else {"socket_options": socket_options}
         self._pool = urllib3.PoolManager(
-            retries=False, maxsize=4, block=False, source_address=source
+            retries=False,
+            maxsize=4,
+            block=False,
+            source_address=(ip, 0) if ip else None,
+            **options,
         )
 
+    def read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
+        """Return the status and the document, None for a status without one.
+
+        StoreError: STORE_UNAVAILABLE when no answer came, or one that is no document.
+        """
+        try:
+            answer = self._pool.request("GET", self._url + path, timeout=self._timeout(timeout_s))
+            doc = json.loads(answer.data) if answer.status in (200, 404) else None
+        except (HTTPError, ValueError) as exc:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
+        return answer.status, doc
+
+    def write(
+        self, method: str, path: str, doc: Any, headers: Mapping[str, str] | None = None
+    ) -> tuple[int, bytes]:
+        """Make a call that changes something; returns the status and the answer's bytes.
+
+        StoreError: STORE_UNAVAILABLE when it was not sent, STORE_OUTCOME_UNKNOWN when no answer
+        came and it may have been done, or may be done yet.
+        """
+        body = None if doc is None else json.dumps(doc).encode()
+        kind = {"Content-Type": "application/json"} if body else {}
+        try:
+            answer = self._pool.request(
+                method,
+                self._url + path,
+                body=body,
+                headers={**kind, **(headers or {})},
+                timeout=self._timeout(None),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"{method} {path}: {exc}") from exc
+        except HTTPError as exc:
+            raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"{method} {path}: {exc}") from exc
+        return answer.status, answer.data
+
+    def _timeout(self, read_s: float | None) -> Timeout:
+        return Timeout(connect=CONNECT_TIMEOUT_S, read=read_s or self._timeout_s)
+
+
+class HttpStore:
+    """The platform's store over HTTP."""
+
+    def __init__(self, url: str, timeout_s: float, ip: str | None = None) -> None:
+        self._calls = StoreCalls(url, timeout_s, ip)
+
     def get(self, key: str) -> StoredObject | None:
         """Return an object, None if there is none."""
         status, doc = self._read(f"/v1/objects/{quote(key)}")
@@ -95,21 +157,8 @@
     def put(self, key: str, value: Any, expected: int | None) -> int:
         """Write an object if its version is as expected, and return the new version."""
         condition = {"If-None-Match": "*"} if expected is None else {"If-Match": f'"{expected}"'}
-        headers = {"Content-Type": "application/json", **condition}
-        body = json.dumps(value).encode()
-        try:
-            answer = self._pool.request(
-                "PUT",
-                f"{self._url}/v1/objects/{quote(key)}",
-                body=body,
-                headers=headers,
-                timeout=self._timeout_s,
-            )
-        except NewConnectionError as exc:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"write {key}: {exc}") from exc
-        except HTTPError as exc:
-            raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"write {key}: {exc}") from exc
-        return _written(key, answer.status, answer.data)
+        status, data = self._calls.write("PUT", f"/v1/objects/{quote(key)}", value, condition)
+        return _written(key, status, data)
 
     def list_objects(self, prefix: str) -> Iterator[Listing]:
         """Yield all objects under a prefix, a page after the other."""
@@ -141,16 +190,10 @@
             raise StoreError(Code.STORE_UNAVAILABLE, f"list of VMs: {exc!r}") from exc
 
     def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
-        try:
-            answer = self._pool.request(
-                "GET", self._url + path, timeout=timeout_s or self._timeout_s
-            )
-            doc = json.loads(answer.data) if answer.status in (200, 404) else None
-        except (HTTPError, ValueError) as exc:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
+        status, doc = self._calls.read(path, timeout_s)
         if doc is None:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: status {answer.status}")
-        return answer.status, doc
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: status {status}")
+        return status, doc
 
 
 def _written(key: str, status: int, data: bytes) -> int:
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -370,3 +370,52 @@
         site.store.set_mode("ok")
         until(vm.ready)
         assert site.send(vm).status == 200
+
+
+def connect(vm):
+    return socket.create_connection((vm.ip, platform.FRONT), 5)
+
+
+def read_all(sock):
+    sock.settimeout(20)
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    return data
+
+
+def limit_callers(fleet, **limits):
+    """Change the limits of the configuration and wait until a caller notices the shortest."""
+    config = copy.deepcopy(platform.CONFIG)
+    config["limits"].update(limits)
+    config["version"] = "0000000d"
+    fleet.store.put("config", "main", config)
+    until(lambda: "rules-in-force version=13" in fleet.logs(), text="the limits are in force")
+
+
+def test_head_that_comes_byte_by_byte_is_ended_and_said_not_to_have_run(fleet):
+    limit_callers(fleet, headerTimeoutS=1)
+    vm = first(fleet)
+    time.sleep(1.5)
+    with connect(vm) as sock:
+        sock.sendall(b"GET /read/x HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Req")
+        assert read_all(sock).startswith(b"HTTP/1.1 408 ")
+    assert fleet.send(vm).status == 200
+
+
+def test_head_that_is_too_long_is_refused(fleet):
+    limit_callers(fleet, maxHeaderBytes=2000)
+    vm = first(fleet)
+    until(lambda: fleet.send(vm, headers={"X-Long": "x" * 3000}).status == 413)
+    assert fleet.send(vm).status == 200
+
+
+def test_connections_without_a_request_take_no_thread_and_end_after_the_idle_time(fleet):
+    limit_callers(fleet, idleTimeoutS=2)
+    vm = first(fleet)
+    time.sleep(1.5)
+    socks = [connect(vm) for _ in range(200)]
+    assert fleet.send(vm).status == 200
+    assert [read_all(sock) for sock in socks] == [b""] * 200
+    for sock in socks:
+        sock.close()
