--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -92,7 +92,9 @@
     ) -> None:
         self._url = url
         self._timeout_s = timeout_s
-        options: dict[str, Any] = {} if socket_options is None else {"socket_options": socket_options}
+        options: dict[str, Any] = (
+            {} if socket_options is None else {"socket_options": socket_options}
+        )
         self._pool = urllib3.PoolManager(
             retries=False,
             maxsize=4,
