Peers are asked only for what this VM does not hear itself

Cause: on the direct way every exchange of records moved whole lists of instances: VMs that follow the store themselves differ for some milliseconds after each change, and two VMs a zone exchange with other zones every second; besides, each VM published loads that nothing on this way reads.

Ruled out: a longer period (a VM cut off from the store needs the second).

Change: a GossipPolicy says what the exchange is for. On the direct way no loads are published, nothing is given unasked, and a record is asked for only if this VM's own feed brought no answer for 2 s.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -24,7 +24,7 @@
 from gypsumwind.feeds import Feed, FeedTask
 from gypsumwind.forwarders import Forwarder
 from gypsumwind.fronts import FrontPages
-from gypsumwind.gossip import GossipTask, SpreadTask
+from gypsumwind.gossip import GossipPolicy, GossipTask, SpreadTask
 from gypsumwind.hangups import HangupTask
 from gypsumwind.heads import HeadReads
 from gypsumwind.joins import AnnounceTask, JoinTask, Registry
@@ -148,7 +148,13 @@
         spread = SpreadTask(cfg, board, rng)
         self._records = RecordsActor.start(board, cfg.zone, cfg.region, self._dispatch, spread.put)
         self._start_members(enter)
-        gossip = GossipTask(cfg, self._boot, board, self._records, rng)
+        feed_tasks = self._feed_tasks()
+        policy = GossipPolicy(
+            loads=False,
+            gives=False,
+            fresh=lambda: {key for key, task in feed_tasks.items() if task.fresh},
+        )
+        gossip = GossipTask(cfg, self._boot, board, self._records, rng, policy)
         service = PeerService(cfg, board, self._boot, self._records, self._dispatch, self._dispatch)
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         forwarder = Forwarder(board, self._dispatch, self._exchanger, self._names, metrics)
@@ -170,7 +176,7 @@
             gossip,
             SweepTask(self._connections, heads, self._server, board),
             JoinTask(cfg, gossip, lambda: board.rules is not None, self._joined),
-            *self._feed_tasks(),
+            *feed_tasks.values(),
         ]
         for task in tasks:
             enter(task)
@@ -186,11 +192,12 @@
         self._members = MembersActor.start(membership, sock, self.board)
         enter(ProbeListener(sock, self._members))
 
-    def _feed_tasks(self) -> list[Task]:
+    def _feed_tasks(self) -> dict[str, FeedTask]:
+        """Return the tasks that follow the feeds, by the record that each keeps up to date."""
         feeds, rng = self._feeds, self._rng
-        return [
-            FeedTask("rules", feeds.rules, QUIET_PACE_S, self._put_rules, rng),
-            FeedTask(
+        return {
+            RULES_KEY: FeedTask("rules", feeds.rules, QUIET_PACE_S, self._put_rules, rng),
+            UPSTREAMS_KEY: FeedTask(
                 "upstreams",
                 feeds.upstreams,
                 UPSTREAMS_PACE_S,
@@ -198,8 +205,10 @@
                 rng,
                 lambda: (self.board.upstreams.by_id or {}, self.board.upstreams.revision),
             ),
-            FeedTask("closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed, rng),
-        ]
+            CLOSED_ZONES_KEY: FeedTask(
+                "closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed, rng
+            ),
+        }
 
     def _put_rules(self, values: Mapping[str, Ruleset], revision: int) -> None:
         for rules in values.values():
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -1,5 +1,6 @@
 """Feeds: what the platform lists, as it changes, followed by a task each."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -22,6 +23,10 @@
 LAPSE_GRACE_S = 2.0
 """After the store is back, entries that lapsed meanwhile get so long to return."""
 
+FRESH_S = 2.0
+"""Time after the last answer for which a feed counts as up to date: while nothing changes nobody
+knows more, and after a change the next answer is due well within it."""
+
 MAX_FAULTS = 1000
 """Malformed entries that are remembered, so that each is logged once a revision."""
 
@@ -79,6 +84,12 @@
         self._lost = False
         self._grace_until = 0.0
         self._faults: set[tuple[str, int]] = set()
+        self._heard_at = -math.inf
+
+    @property
+    def fresh(self) -> bool:
+        """Tell whether an answer came so lately that no peer needs to be asked."""
+        return monotonic() - self._heard_at < FRESH_S
 
     def pause_s(self) -> float:
         """Return the pause before the next call."""
@@ -96,6 +107,7 @@
             self._failed(exc)
             return
         self._retry_s = 0.0
+        self._heard_at = monotonic()
 
     def _read(self) -> None:
         found = self._feed.read()
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -2,6 +2,8 @@
 
 import queue
 import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 import pykka
 
@@ -61,6 +63,20 @@
     return hashes.pop() if len(hashes) == 1 else 0
 
 
+@dataclass(slots=True, frozen=True)
+class GossipPolicy:
+    """What the exchange of records is for.
+
+    With `loads`, VMs and zones publish what they have room for. With `gives`, a VM also gives its
+    peer what is newer here. `fresh` names the records that this VM keeps up to date by itself:
+    it asks no peer for these, who would send them whole after each change.
+    """
+
+    loads: bool = True
+    gives: bool = True
+    fresh: Callable[[], Collection[str]] = tuple
+
+
 class GossipTask(Task):
     """Publishes what this VM and its zone have, and evens records out with one peer."""
 
@@ -71,8 +87,10 @@
         board: Board,
         records: pykka.ActorRef,
         rng: random.Random,
+        policy: GossipPolicy | None = None,
     ) -> None:
         super().__init__("gossip", cfg.gossip_s)
+        self._policy = policy or GossipPolicy()
         self._cfg = cfg
         self._boot = boot
         self._board = board
@@ -88,11 +106,12 @@
 
     def step(self) -> None:
         """Publish, then exchange with a peer of the zone and, as a delegate, one outside."""
-        self._publish_vm()
         speaks = is_delegate(self._board, self._cfg.zone)
-        if speaks and monotonic() >= self._zone_due:
-            self._zone_due = monotonic() + self._cfg.zone_digest_s
-            self._publish_zone()
+        if self._policy.loads:
+            self._publish_vm()
+            if speaks and monotonic() >= self._zone_due:
+                self._zone_due = monotonic() + self._cfg.zone_digest_s
+                self._publish_zone()
         for member in self._partners(speaks):
             self._try_sync(member)
 
@@ -117,11 +136,13 @@
         theirs = self._peers.compare(to, digests)
         given: list[Record] = []
         wanted: dict[str, list[str]] = {}
+        fresh = self._policy.fresh()
         for scope, versions in theirs.items():
-            newer = msg.GetNewer(scope, versions)
-            given.extend(msg.ask(self._records, newer))
+            if self._policy.gives:
+                newer = msg.GetNewer(scope, versions)
+                given.extend(msg.ask(self._records, newer))
             older = msg.GetWanted(scope, versions)
-            wanted[scope] = msg.ask(self._records, older)
+            wanted[scope] = [key for key in msg.ask(self._records, older) if key not in fresh]
         if given or any(wanted.values()):
             taken = self._peers.exchange(to, given, wanted)
             msg.ask(self._records, msg.PutRecords(tuple(taken)))
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -121,3 +121,18 @@
     for _ in range(3):
         made.step()
     assert published[-1] == ({"b": "leaving"}, 53)
+
+
+def test_feed_is_fresh_for_a_while_after_an_answer_and_not_while_the_store_is_away(clock):
+    made, _ = task(Script(Changes({}, 1), LOST, LOST, Changes({}, 2)))
+    assert not made.fresh
+    made.step()
+    assert made.fresh
+    clock[0] += 1.0
+    made.step()
+    assert made.fresh
+    clock[0] += 1.5
+    made.step()
+    assert not made.fresh
+    made.step()
+    assert made.fresh
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,99 @@
+"""What one exchange of records with a peer moves."""
+
+import random
+
+import pykka
+import pytest
+
+from gypsumwind import messages as msg
+from gypsumwind.board import Board
+from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.upstreams import UpstreamList, upstreams_to_json
+from gypsumwind.gossip import GossipPolicy, GossipTask
+from gypsumwind.payloads import CLOSED_ZONES_KEY, UPSTREAMS_KEY
+from gypsumwind.records import RecordsActor
+from gypsumwind.settings import read_settings
+from gypsumwind.utils import pack_json
+
+PEER = Endpoint("127.0.0.2", 0, 0, 1)
+CFG = read_settings(
+    {"vm": "v1", "zone": "a1", "region": "a", "ip": "127.0.0.1", "store_url": "http://127.0.0.1:1"},
+    {},
+)
+
+
+def closed(version):
+    return Record(CLOSED_ZONES_KEY, version, CONFIG_SCOPE, pack_json([]))
+
+
+def upstreams(version):
+    doc = upstreams_to_json(UpstreamList(version, {}))
+    return Record(UPSTREAMS_KEY, version, CONFIG_SCOPE, pack_json(doc))
+
+
+class FakePeer:
+    """A peer with records of its own, and a log of what it was given and asked for."""
+
+    def __init__(self, *records):
+        self.records = {record.key: record for record in records}
+        self.given, self.asked = [], []
+
+    def compare(self, to, digests):
+        return {CONFIG_SCOPE: {key: r.version for key, r in self.records.items()}}
+
+    def exchange(self, to, given, wanted):
+        self.given += [record.key for record in given]
+        keys = [key for part in wanted.values() for key in part]
+        self.asked += keys
+        return [self.records[key] for key in keys]
+
+
+class Gate(pykka.ThreadingActor):
+    """Takes what the records tell it."""
+
+    def on_receive(self, message):
+        """Ignore the message."""
+
+
+@pytest.fixture
+def sync():
+    """Return a function that evens records out with a peer once, and gives the board."""
+    refs = []
+
+    def run(peer, policy=None, own=()):
+        board = Board(Member("v1", "a1", PEER, 1, State.ALIVE))
+        gate = Gate.start()
+        records = RecordsActor.start(board, "a1", "a", gate, lambda found: None)
+        refs.extend([gate, records])
+        msg.ask(records, msg.PutRecords(tuple(own)))
+        task = GossipTask(CFG, 1, board, records, random.Random(1), policy)
+        task._peers = peer
+        task.sync(PEER)
+        return board
+
+    yield run
+    for ref in refs:
+        ref.stop()
+
+
+def test_records_that_this_vm_keeps_up_to_date_itself_are_not_asked_for(sync):
+    peer = FakePeer(upstreams(7), closed(7))
+    board = sync(peer, GossipPolicy(fresh=lambda: {UPSTREAMS_KEY}))
+    assert peer.asked == [CLOSED_ZONES_KEY]
+    assert board.upstreams.revision == 0
+
+
+def test_vm_without_the_store_learns_all_from_its_peer(sync):
+    peer = FakePeer(upstreams(7), closed(7))
+    board = sync(peer, GossipPolicy(gives=False))
+    assert sorted(peer.asked) == sorted([UPSTREAMS_KEY, CLOSED_ZONES_KEY])
+    assert board.upstreams.revision == 7
+
+
+@pytest.mark.parametrize("gives", [True, False])
+def test_newer_records_are_given_only_where_peers_wait_for_that(sync, gives):
+    peer = FakePeer(upstreams(7))
+    sync(peer, GossipPolicy(gives=gives), own=[upstreams(9)])
+    assert peer.given == ([UPSTREAMS_KEY] if gives else [])
+    assert peer.asked == []
