Two delegates of a zone follow the store, its other VMs follow a delegate

Cause: every VM watched three kinds itself.

Ruled out: reads that may be old at a tenth of the price (seconds old, where a leaving instance must be known in 2.5 s); a push by delegates (a lost one needs a second mechanism to be found).

Change: relays.py keeps what a VM's feeds brought, in order; followers.py is a Feed that waits at a delegate, and goes to the store itself when the delegate does not answer or has not heard from the store for two seconds. Zones of one or two VMs stay as they were.

--- a/gypsumwind/core/upstreams.py
+++ b/gypsumwind/core/upstreams.py
@@ -35,6 +35,14 @@
         return iter((self.by_id or {}).values())
 
 
+def upstream_from_json(doc: Mapping[str, Any]) -> Upstream:
+    """Read the document of one instance; ValueError if it is not one."""
+    try:
+        return Upstream(**doc)
+    except TypeError as exc:
+        raise ValueError(f"upstream: {exc!r}") from exc
+
+
 def upstreams_to_json(found: UpstreamList) -> dict[str, Any]:
     """Return a list of instances as the document that VMs give each other."""
     return {"revision": found.revision, "upstreams": [asdict(up) for up in found]}
@@ -43,7 +51,7 @@
 def upstreams_from_json(doc: Mapping[str, Any]) -> UpstreamList:
     """Read such a document; ValueError if it is not one."""
     try:
-        found = [Upstream(**item) for item in doc["upstreams"]]
+        found = [upstream_from_json(item) for item in doc["upstreams"]]
         return UpstreamList(int(doc["revision"]), {up.id: up for up in found})
     except (KeyError, TypeError) as exc:
         raise ValueError(f"list of upstreams: {exc!r}") from exc
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -4,8 +4,9 @@
 import socket
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import ExitStack
+from dataclasses import asdict
 from typing import Any
 
 import pykka
@@ -16,12 +17,13 @@
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.records import CONFIG_SCOPE, Record
-from gypsumwind.core.rules import Ruleset, ruleset_to_json
-from gypsumwind.core.upstreams import UpstreamList, upstreams_to_json
+from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
+from gypsumwind.core.upstreams import UpstreamList, upstream_from_json, upstreams_to_json
 from gypsumwind.daemon import TICK_S, TickTask
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.exchanges import Exchanger
 from gypsumwind.feeds import Feed, FeedTask
+from gypsumwind.followers import RelayedFeed, Zone
 from gypsumwind.forwarders import Forwarder
 from gypsumwind.fronts import FrontPages
 from gypsumwind.gossip import GossipPolicy, GossipTask, SpreadTask
@@ -32,9 +34,10 @@
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
 from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY
-from gypsumwind.peers import PeerServer, PeerService, ProbeListener
+from gypsumwind.peers import Peers, PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
+from gypsumwind.relays import RELAY_WAIT_S, Codec, RelayHub
 from gypsumwind.servers import EXPIRE_S, Server
 from gypsumwind.settings import Settings
 from gypsumwind.steering import HeaderNames, SteeringSettings
@@ -49,6 +52,16 @@
 QUIET_PACE_S = 0.05
 """The same for what changes rarely."""
 
+FOLLOW_TIMEOUT_S = RELAY_WAIT_S + 0.5
+"""Time limit of a call to a relay: its wait, and half a second for the way within a zone."""
+
+CODECS = {
+    "rules": Codec(ruleset_to_json, ruleset_from_json),
+    "upstreams": Codec(asdict, upstream_from_json),
+    "closed-zones": Codec(bool, bool),
+}
+"""How relays hand on the values of each feed."""
+
 SWEEP_S = 1.0
 """Period in which connections that are idle or slow for too long are ended."""
 
@@ -124,6 +137,7 @@
         self._connections = Connections(cfg.ip)
         self._exchanger = Exchanger(self._connections, names, read_load)
         self._names = names
+        self._hub = RelayHub(self._boot, CODECS)
 
     def __enter__(self) -> "DirectDaemon":
         try:
@@ -155,7 +169,9 @@
             fresh=lambda: {key for key, task in feed_tasks.items() if task.fresh},
         )
         gossip = GossipTask(cfg, self._boot, board, self._records, rng, policy)
-        service = PeerService(cfg, board, self._boot, self._records, self._dispatch, self._dispatch)
+        service = PeerService(
+            cfg, board, self._boot, self._records, self._dispatch, self._dispatch, self._hub
+        )
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         forwarder = Forwarder(board, self._dispatch, self._exchanger, self._names, metrics)
         self._front = FrontPages(cfg, board, forwarder, self._hangups, metrics, self._names)
@@ -194,22 +210,42 @@
 
     def _feed_tasks(self) -> dict[str, FeedTask]:
         """Return the tasks that follow the feeds, by the record that each keeps up to date."""
-        feeds, rng = self._feeds, self._rng
+        feeds = self._feeds
         return {
-            RULES_KEY: FeedTask("rules", feeds.rules, QUIET_PACE_S, self._put_rules, rng),
-            UPSTREAMS_KEY: FeedTask(
+            RULES_KEY: self._feed_task("rules", feeds.rules, QUIET_PACE_S, self._put_rules),
+            UPSTREAMS_KEY: self._feed_task(
                 "upstreams",
                 feeds.upstreams,
                 UPSTREAMS_PACE_S,
                 self._put_upstreams,
-                rng,
                 lambda: (self.board.upstreams.by_id or {}, self.board.upstreams.revision),
+                often=True,
             ),
-            CLOSED_ZONES_KEY: FeedTask(
-                "closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed, rng
+            CLOSED_ZONES_KEY: self._feed_task(
+                "closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed
             ),
         }
 
+    def _feed_task(
+        self,
+        name: str,
+        own: Feed,
+        pace_s: float,
+        put: Callable[[Mapping[str, Any], int], None],
+        known: Callable[[], tuple[Mapping[str, Any], int]] = lambda: ({}, 0),
+        often: bool = False,
+    ) -> FeedTask:
+        """Return the task of a feed that is followed at a delegate, or by one at the store."""
+        cfg, hub = self._cfg, self._hub
+        zone = Zone(cfg.vm, cfg.zone, self.board)
+        feed = RelayedFeed(name, own, zone, hub, Peers(cfg.ip, FOLLOW_TIMEOUT_S).follow, often)
+
+        def publish(values: Mapping[str, Any], revision: int) -> None:
+            hub.put(name, values, revision)
+            put(values, revision)
+
+        return FeedTask(name, feed, pace_s, publish, self._rng, known)
+
     def _put_rules(self, values: Mapping[str, Ruleset], revision: int) -> None:
         for rules in values.values():
             self._put(RULES_KEY, rules.version, ruleset_to_json(rules))
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -137,6 +137,17 @@
   7: optional binary body
 }
 
+// What one feed of a relay has brought since a position of its log, or whole; `values` is
+// compressed JSON, by name, null for what was removed.
+struct RelayNews {
+  1: i64 log
+  2: i64 position
+  3: i64 revision
+  4: i32 age_ms
+  5: bool whole
+  6: binary values
+}
+
 service Peer {
   i64 ping()
   bool reach(1: Endpoint endpoint)
@@ -148,4 +159,5 @@
   void discharge(1: string instance, 2: bool foreign)
   void inherit(1: list<HomeId> homes, 2: list<KeyEntry> entries)
   bool void_attempt(1: string attempt, 2: i64 remaining_ms, 3: i64 incarnation)
+  RelayNews follow(1: string feed, 2: i64 log, 3: i64 position, 4: i32 wait_ms)
 }
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -24,6 +24,7 @@
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.errors import Code, GypsumwindError
+from gypsumwind.relays import News, RelayHub
 from gypsumwind.settings import Settings
 from gypsumwind.traffic import CountedServerSocket, CountedSocket, control
 from gypsumwind.utils import monotonic
@@ -38,6 +39,8 @@
     homes_to_wire,
     key_entry_to_wire,
     legacy_from_wire,
+    news_from_wire,
+    news_to_wire,
     record_from_wire,
     record_to_wire,
     reply_from_wire,
@@ -122,6 +125,11 @@
         wire = [key_entry_to_wire(entry) for entry in entries]
         self._call(to, "inherit", homes_to_wire(homes), wire)
 
+    def follow(self, to: Endpoint, feed: str, log: int, position: int, wait_s: float) -> News:
+        """Wait at a relay for what comes after a position of a feed's log."""
+        wire = self._call(to, "follow", feed, log, position, int(wait_s * 1000))
+        return news_from_wire(wire)
+
     def void_attempt(self, to: Endpoint, attempt: str, remaining_ms: int, incarnation: int) -> bool:
         """Void an attempt; True when no copy of it has run or ever will."""
         return bool(self._call(to, "void_attempt", attempt, remaining_ms, incarnation))
@@ -138,8 +146,10 @@
         records: pykka.ActorRef,
         gate: pykka.ActorRef,
         home: pykka.ActorRef,
+        hub: RelayHub | None = None,
     ) -> None:
         self._home = home
+        self._hub = hub or RelayHub(boot, {})
         self._cfg = cfg
         self._board = board
         self._boot = boot
@@ -205,6 +215,10 @@
         """Take in keys of a home that stops."""
         msg.ask(self._home, msg.InheritKeys(legacy_from_wire(homes, entries)))
 
+    def follow(self, feed: str, log: int, position: int, wait_ms: int) -> Any:
+        """Answer a VM that follows a feed here."""
+        return news_to_wire(self._hub.follow(feed, log, position, wait_ms / 1000.0))
+
     def void_attempt(self, attempt: str, remaining_ms: int, incarnation: int) -> bool:
         """Void an attempt that was sent to this process; another one cannot know of it."""
         if incarnation < self._boot:
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -14,6 +14,8 @@
 from gypsumwind.core.ownership import Claim, ClaimReply, Hold
 from gypsumwind.core.records import Record
 from gypsumwind.messages import HomeId, HomeLegacy, StoredOutcome
+from gypsumwind.relays import News
+from gypsumwind.utils import pack_json, unpack_json
 
 thrift: Any = thriftpy2.load(
     str(files("gypsumwind") / "gypsumwind.thrift"), module_name="gypsumwind_thrift"
@@ -170,3 +172,19 @@
         tuple((home.vm, home.incarnation) for home in homes),
         tuple(key_entry_from_wire(entry) for entry in entries),
     )
+
+
+def news_to_wire(news: News) -> Any:
+    """Convert what a relay tells, its values being documents."""
+    values = pack_json(news.values)
+    age_ms = int(news.age_s * 1000)
+    return thrift.RelayNews(news.log, news.position, news.revision, age_ms, news.whole, values)
+
+
+def news_from_wire(wire: Any) -> News:
+    """Convert what a relay tells back; ValueError if the values are unreadable."""
+    data = wire.values.encode("latin-1") if isinstance(wire.values, str) else wire.values
+    values = unpack_json(data)
+    if not isinstance(values, dict):
+        raise ValueError("news of a relay: the values are no document")
+    return News(wire.log, wire.position, wire.revision, wire.age_ms / 1000.0, wire.whole, values)
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from gypsumwind.core.delegates import delegates
 from tests.standins import platform
 from tests.standins.fleet import until
 from tests.standins.steered import SIGNATURE, Site
@@ -419,3 +420,46 @@
     assert [read_all(sock) for sock in socks] == [b""] * 200
     for sock in socks:
         sock.close()
+
+
+def split_zone(fleet):
+    """Return the delegates of zone a1 and its other VMs, once these follow the delegates."""
+    names = delegates("a1", fleet.vms)
+    others = [vm for vm in fleet.vms.values() if vm.name not in names]
+    for vm in others:
+        until(lambda vm=vm: follows(vm, names), text=f"{vm.name} follows a delegate")
+    return [fleet.vms[name] for name in names], others
+
+
+def follows(vm, names):
+    """Tell whether a VM has all its feeds from one of the VMs named, by the last line of each."""
+    lines = [li for li in vm.log_path.read_text().splitlines() if "feed-source" in li]
+    last = {line.split("feed='")[1].split("'")[0]: line for line in lines}
+    return len(last) == 3 and all(
+        any(f"source='{name}'" in line for name in names) for line in last.values()
+    )
+
+
+@pytest.mark.parametrize("fleet", [("a1",) * 5], indirect=True)
+def test_followers_of_a_large_zone_call_the_store_hardly_and_learn_all(fleet):
+    _, others = split_zone(fleet)
+    fleet.store.callers.clear()
+    fleet.store.register("i-2", fleet.instances["i-2"].address, state="draining")
+    time.sleep(5)
+    for vm in others:
+        assert fleet.store.callers[vm.ip] <= 2
+    home = {fleet.send(vm, request=f"{vm.name}-{n}").data.split()[0] for vm in others for n in "ab"}
+    assert home == {b"i-1"}
+
+
+@pytest.mark.parametrize("fleet", [("a1",) * 4], indirect=True)
+def test_followers_go_on_when_their_delegates_are_killed_or_cut_off(fleet):
+    relays, others = split_zone(fleet)
+    relays[0].kill()
+    relays[1].process.send_signal(signal.SIGSTOP)
+    fleet.store.remove("servers", "i-2")
+    try:
+        until(lambda: all("count=2" in vm.log_path.read_text() for vm in others), timeout=20)
+        assert [fleet.send(vm).status for vm in others] == [200, 200]
+    finally:
+        relays[1].process.send_signal(signal.SIGCONT)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+from collections import Counter
 from contextlib import suppress
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -126,6 +127,7 @@
         self.log = []
         self.mode = "ok"
         self.calls = 0
+        self.callers = Counter()
 
     def put(self, kind, name, spec, status=None):
         """Write an object as the operator or an instance would."""
@@ -188,6 +190,7 @@
     def do_GET(self):
         store = self.server.standin
         store.calls += 1
+        store.callers[self.client_address[0]] += 1
         if not self._available(store):
             return
         url = urlsplit(self.path)
