An instance is left out for failing more than its service does

Each was left out in turn (three failures in a row are an ejection), so objects ran cold at others: the median went from 270 to 600 ms and stayed there until 26 s.

Ruled out: longer queues (the load headers show room); more repeats (the fleet's budget is used up: 1,081 sheds, 729 refusals after two of them).

Change: an instance is ejected if its share of failures is over 0.55, as before, and over its service's by 0.4.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -69,6 +69,14 @@
 EJECT_ABOVE = 0.55
 """Share of failures above which an instance is left out: three in a row, from none."""
 
+EJECT_MARGIN = 0.4
+"""How far an instance's share of failures has to lie above its service's for that: where all
+instances fail alike, leaving some out only makes objects cold at the others. Two standard
+deviations of the share of an instance that fails half of its requests: sqrt(w / (2 - w)) / 2."""
+
+SERVICE_FAILURE_WEIGHT = 0.02
+"""Weight of one result in a service's share of failures: some fifty results, over its instances."""
+
 EJECT_S = 1.0
 MAX_EJECT_S = 8.0
 """First and longest time for which an instance is left out; doubled while its trials fail."""
@@ -152,6 +160,10 @@
     CANCELLED = "cancelled"
 
 
+NO_EVIDENCE = frozenset((Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE))
+"""Outcomes that tell nothing of an instance's health."""
+
+
 @dataclass(slots=True, frozen=True)
 class ReportedLoad:
     """What an instance says of itself: requests that run and wait, and its slots."""
@@ -215,16 +227,17 @@
         self.mean_others += MEAN_WEIGHT * (self.others - self.mean_others)
         self.heard_at = now
 
-    def observe(self, outcome: str, now: float) -> None:
-        """Take in how a send ended."""
+    def observe(self, outcome: str, usual: float, now: float) -> None:
+        """Take in how a send ended; `usual` is the share of failures of its whole service."""
         self.misdirected |= outcome == Outcome.MISDIRECTED
-        if outcome in (Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE):
+        if outcome in NO_EVIDENCE:
             return
         bad = outcome != Outcome.OK
         self.failures += FAILURE_WEIGHT * (bad - self.failures)
         if not bad and self.failures < EJECT_ABOVE / 2:
             self.eject_s = EJECT_S
-        if outcome == Outcome.UNREACHABLE or self.failures > EJECT_ABOVE:
+        limit = max(EJECT_ABOVE, usual + EJECT_MARGIN)
+        if outcome == Outcome.UNREACHABLE or self.failures > limit:
             self.eject(now)
 
     def eject(self, now: float) -> None:
@@ -248,12 +261,19 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    """Mean time of a service's requests, those that wait for room, and when some were placed."""
+    """Mean time of a service's requests, its share of failures, and those that wait for room."""
 
     work_s: float = FIRST_WORK_S
+    failures: float = 0.0
     waiting: list[_Waiting] = field(default_factory=list)
     placed: deque[float] = field(default_factory=deque)
 
+    def observe(self, outcome: str) -> None:
+        """Take in how a send to any instance of the service ended."""
+        if outcome not in NO_EVIDENCE:
+            bad = outcome != Outcome.OK
+            self.failures += SERVICE_FAILURE_WEIGHT * (bad - self.failures)
+
     def in_time(self, wanted: Wanted, now: float) -> bool:
         """Tell whether a request can still be answered within its objective."""
         return now + self.work_s <= (wanted.objective or wanted.deadline)
@@ -375,13 +395,14 @@
         lane.own = max(0, lane.own - 1)
         if report is not None:
             lane.hear(report, now)
-        lane.observe(outcome, now)
+        state = self._state(upstream.service)
+        state.observe(outcome)
+        lane.observe(outcome, state.failures, now)
         if outcome == Outcome.MISDIRECTED:
             self._replan()
         if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
             self._suspect_cold(lane, now)
         if outcome == Outcome.OK:
-            state = self._state(upstream.service)
             state.work_s += WORK_WEIGHT * (seconds - state.work_s)
 
     def hear_close(self, upstream: Upstream, now: float) -> None:
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -245,3 +245,33 @@
     made.finish(gone, Outcome.MISDIRECTED, None, 0.01, 0.1)
     found = {made.place(wanted(n), 0.2).upstream.id for n in range(2, 5)}
     assert gone.id not in found
+
+
+def play_sheds(shedding, rounds=400):
+    """Play requests on eight instances, some of which shed half of what comes; count the sends.
+
+    Returns the sends at an instance that was no home of the request, and the sheds, in parts.
+    """
+    made = dispatcher([upstream(f"i{n}") for n in range(8)])
+    rng = random.Random(3)
+    away = sheds = 0
+    for n in range(rounds):
+        now = n * 0.05
+        placed = made.place(wanted(n, f"k{n % 40}", deadline=now + 5), now)
+        home = made._order(wanted(n, f"k{n % 40}"))[0]
+        away += placed.upstream.id != home
+        shed = placed.upstream.id in shedding and rng.random() < 0.55
+        sheds += shed
+        outcome = Outcome.SHED if shed else Outcome.OK
+        made.finish(placed.upstream, outcome, ReportedLoad(0, 0, 4), 0.2, now + 0.04)
+    return away / rounds, sheds / rounds
+
+
+def test_objects_stay_at_their_homes_while_all_instances_shed_alike():
+    away, _ = play_sheds({f"i{n}" for n in range(8)})
+    assert away < 0.1
+
+
+def test_instance_that_sheds_more_than_its_peers_is_left_out():
+    _, sheds = play_sheds({"i1"})
+    assert sheds < 0.55 / 8 * 0.7
