Changed bounds keep the repeats that were taken

Cause: found by reading: a change of the settings emptied the budgets, so the window of the budget could hold twice its repeats. Change: the bound of a budget is set, its counts stay. Test: 8 of 10 taken, bound raised to 20: 8 more, before 16.

--- a/gypsumwind/core/repeats.py
+++ b/gypsumwind/core/repeats.py
@@ -22,6 +22,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def set_bound(self, ratio: float, headroom: float, window_s: float) -> None:
+        """Change the bound; what was taken stays counted."""
+        self._ratio = ratio
+        self._headroom = headroom
+        self._window_s = window_s
+
     def request(self, now: float) -> None:
         """Count the first send of a request."""
         self._requests.append(now)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -56,7 +56,8 @@
                 self._sync(now)
             case msg.SetSteering():
                 self._steering = message.steering
-                self._budgets.clear()
+                for budget in self._budgets.values():
+                    budget.set_bound(*self._repeat_bound())
                 self._dispatcher.set_regions(message.steering.regions)
                 self._dispatcher.set_fleet(self._fleet(), self._cold_bound())
                 self._sync(now)
@@ -127,11 +128,12 @@
     def _cold_bound(self) -> ColdBound:
         return ColdBound(self._steering.cold_overshoot, self._steering.cold_slack_per_s)
 
+    def _repeat_bound(self) -> tuple[float, float, float]:
+        steering = self._steering
+        return steering.repeat_ratio, steering.repeat_headroom, steering.repeat_window_s
+
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            steering = self._steering
-            budget = self._budgets[service] = RepeatBudget(
-                steering.repeat_ratio, steering.repeat_headroom, steering.repeat_window_s
-            )
+            budget = self._budgets[service] = RepeatBudget(*self._repeat_bound())
         return budget
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -51,3 +51,10 @@
     for _ in range(100):
         budget.request(0.0)
     assert sum(budget.take(0.0, 1) for _ in range(50)) == 16
+
+
+def test_changed_bound_does_not_give_back_what_was_taken():
+    budget = RepeatBudget(RATIO, 10.0, WINDOW_S)
+    assert sum(budget.take(0.0, 1) for _ in range(50)) == 8
+    budget.set_bound(RATIO, 20.0, WINDOW_S)
+    assert sum(budget.take(0.1, 1) for _ in range(50)) == 8
