The second delegate follows the first and calls the store only in its place

Ruled out: a longer pace (a leaving instance has to be known in three seconds, of which a failed delegate takes two).

Change: a VM follows the delegates that rank before it, so the second follows the first. Zones of one or two VMs stay as they were.

Tests: one call to the store a round of five VMs; the second delegate in the place of the first.

--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -40,12 +40,18 @@
         return found
 
     def relays(self) -> Mapping[str, Endpoint]:
-        """Return the delegates that this VM is to follow; none if it is one, or the only ones."""
+        """Return the delegates that this VM is to follow, the first one first.
+
+        The second delegate follows the first, and takes its place when that fails: until then it
+        does not hear from the store itself, and nobody follows it. In a zone of delegates alone
+        nobody follows another.
+        """
         present = self.present()
-        named = delegates(self._zone, present)
-        if self.vm in named:
+        if len(present) <= DELEGATES_PER_ZONE:
             return {}
-        return {vm: present[vm] for vm in named}
+        named = delegates(self._zone, present)
+        above = named[: named.index(self.vm)] if self.vm in named else named
+        return {vm: present[vm] for vm in above}
 
     def followed(self) -> bool:
         """Tell whether the zone has VMs that follow its delegates."""
@@ -56,7 +62,7 @@
 
 
 class RelayedFeed:
-    """A feed that is followed at a delegate of the zone, or at the store by the delegates.
+    """A feed that is followed at a delegate of the zone, by the first delegate at the store.
 
     A change of the source is a whole read, so that nothing between the two is missed. `often` marks
     the feed by which a delegate shows that it hears from the store.
