--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: setup test lint demo measure
+SEEDS ?= 1-5
+SOAK_SECONDS ?= 15
+
+.PHONY: setup test lint demo measure soak
 
 $(VENV)/.ready: pyproject.toml
 	python3 -m venv $(VENV)
@@ -23,3 +26,6 @@
 
 demo: setup
 	$(PY) -m tests.standins.demo
+
+soak: setup
+	$(PY) -m tests.soak.play --seeds $(SEEDS) --seconds $(SOAK_SECONDS)
