--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -141,6 +142,8 @@
 @click.option("--block", default="127.200.1", help="loopback addresses to use: the first three")
 def main(seeds, seconds, report, block):
     """Play seeds one after the other, with a line each, and write a report."""
+    # An end by signal must end the processes that were started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     lines, failed = ["# Soak", "", "| seed | faults | attempts | answered | broken |"], 0
     lines.append("| --- | --- | --- | --- | --- |")
     details = []
