Test: a whole daemon with blocked output goes on serving

A pipe of one page that nobody reads, 200 requests. With lines written where they arise (planted, in a clone) the test fails.

--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -1,6 +1,7 @@
 """The direct way by real processes: callers, daemons, instances and the platform's store."""
 
 import copy
+import fcntl
 import os
 import signal
 import socket
@@ -463,3 +464,15 @@
         assert [fleet.send(vm).status for vm in others] == [200, 200]
     finally:
         relays[1].process.send_signal(signal.SIGCONT)
+
+
+def test_blocked_output_of_a_daemon_blocks_no_caller(tmp_path):
+    """Nobody reads the pipe, which is full after some twenty lines; requests go on."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    with Site(tmp_path, f"{BLOCK}.9", PLACES) as site:
+        vm = first(site).start(stdout=writer)
+        until(vm.ready, text="the VM is ready")
+        assert {site.send(vm, request=f"r-{n}").status for n in range(200)} == {200}
+    os.close(reader)
+    os.close(writer)
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -117,8 +117,8 @@
         self.log_path = site.folder / f"{name}.log"
         self.process = None
 
-    def start(self, seeds=()):
-        """Write the settings and start the process."""
+    def start(self, seeds=(), stdout=None):
+        """Write the settings and start the process, whose output goes to a file or `stdout`."""
         seeds = seeds or [vm.ip for vm in self.site.vms.values()][:3] or [self.ip]
         lines = settings_lines(self.name, self.ip, self.zone, self.site.store.address, seeds)
         self.path.write_text("\n".join(lines))
@@ -128,7 +128,7 @@
                 [sys.executable, "-m", "gypsumwind.platform"],
                 cwd=ROOT,
                 env=env,
-                stdout=log,
+                stdout=stdout or log,
                 stderr=log,
             )
         return self
