Requests that come in the first second of a VM wait for its configuration

A caller that is told to come back has one retry, and uses it on the next VM in the same state.

Ruled out: opening the caller port later (a refused connect costs the caller its look at that VM); a shorter Retry-After (the retry is used up all the same).

Change: within its first second a VM lets requests wait until rules and upstreams are known; after it they are refused at once, as before.

Test: a store that answers after 0.3 s, a request as soon as the port is open: 503 before, 200 after.

--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -1,5 +1,6 @@
 """Snapshots that actors publish for reading: each is replaced whole by its one owner."""
 
+import threading
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -91,7 +92,10 @@
 
 
 class Board:
-    """The latest snapshots; rules, upstreams and closed zones are those of the direct way."""
+    """The latest snapshots; rules, upstreams and closed zones are those of the direct way.
+
+    `steerable` is set once rules and upstreams are known.
+    """
 
     __slots__ = (
         "members",
@@ -107,6 +111,7 @@
         "rules",
         "upstreams",
         "closed_zones",
+        "steerable",
     )
 
     def __init__(self, me: Member) -> None:
@@ -123,3 +128,4 @@
         self.rules: Ruleset | None = None
         self.upstreams = UpstreamList()
         self.closed_zones: frozenset[str] = frozenset()
+        self.steerable = threading.Event()
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -20,6 +20,10 @@
 SPARE_THREADS = 8
 """Threads that stay free to refuse what is beyond the limit."""
 
+START_S = 1.0
+"""Time after the start within which requests wait for the configuration, as it is learnt in some
+round trips to the store: callers that come back later are worse off. After it they are refused."""
+
 ENDING_RETRY_S = 0.1
 """When to come back, to another VM, after this one has stopped."""
 
@@ -61,6 +65,7 @@
         self._names = names
         self.in_flight = InFlight(cfg.threads - SPARE_THREADS)
         self.ending = False
+        self._started_until = monotonic() + START_S
 
     def handle(self, ex: Exchange) -> None:
         """Answer one request, in its turn on its connection."""
@@ -118,6 +123,7 @@
         """Count a request in and return its rule; an error of its rule is counted in as well."""
         rank = 0
         try:
+            self._await_start()
             rule = self._forwarder.rule_for(ex)
             served.rule, rank = rule.name, rule.priority
         finally:
@@ -130,6 +136,12 @@
             raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, ENDING_RETRY_S)
         return rule
 
+    def _await_start(self) -> None:
+        """Wait until this VM knows where to send, if it has only just started."""
+        left = self._started_until - monotonic()
+        if left > 0:
+            self._board.steerable.wait(left)
+
     def _reply(self, ex: Exchange, served: "Served") -> str:
         """Write the answer; returns its status or the code of the error."""
         if served.answer is not None:
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -153,3 +153,5 @@
             board.closed_zones = value
             log.info("closed-zones-in-force", revision=record.version, zones=sorted(value))
         self._gate.tell(msg.SyncSteering())
+        if board.rules is not None and board.upstreams.by_id:
+            board.steerable.set()
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -476,3 +476,20 @@
         assert {site.send(vm, request=f"r-{n}").status for n in range(200)} == {200}
     os.close(reader)
     os.close(writer)
+
+
+def test_request_that_comes_while_the_configuration_is_read_is_served(tmp_path):
+    """All VMs of a fleet have started again, and callers reach them at once."""
+    with Site(tmp_path, f"{BLOCK}.9", PLACES) as site:
+        site.store.delay_s = 0.3
+        vm = first(site).start()
+        until(lambda: is_open(vm), text="the caller port is open")
+        assert site.send(vm).status == 200
+
+
+def is_open(vm):
+    try:
+        connect(vm).close()
+    except OSError:
+        return False
+    return True
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -128,6 +128,7 @@
         self.mode = "ok"
         self.calls = 0
         self.callers = Counter()
+        self.delay_s = 0.0
 
     def put(self, kind, name, spec, status=None):
         """Write an object as the operator or an instance would."""
@@ -233,6 +234,7 @@
             self._json(200 if found else 404, {})
 
     def _available(self, store):
+        time.sleep(store.delay_s)
         if store.mode == "silent":
             with store.changed:
                 store.changed.wait_for(lambda: store.mode != "silent", timeout=30)
