A request waits for a slot only while it can still be served in time

Ruled out: the instance (it took its usual time); the deadline's clock.

Change: a request leaves the queue when the time left is what the fastest owned instance takes, refused as not run; one that comes with less is refused at once while others are in flight (what ends tells the time anew, so one slow answer shuts nothing).

Tests: 2 of 3 new ones fail on the code before; the third guards against shutting an idle service.

--- a/gypsumwind/core/admission.py
+++ b/gypsumwind/core/admission.py
@@ -32,6 +32,7 @@
     NO_INSTANCE = "no instance of the service is owned here"
     FULL = "no slot is free"
     LATE = "the deadline has passed"
+    SHORT = "the time left is shorter than a request takes"
     LAPSED = "the lease of this VM has lapsed"
     DISPLACED = "a request of a higher class took the place in the queue"
 
@@ -276,6 +277,9 @@
         owned = self._owned_states(req.service)
         if not any(s.health.serving(now) for s in owned):
             return self.refuse(req, Reason.NO_INSTANCE)
+        busy = any(s.in_flight for s in owned)
+        if busy and now + self._expected_s(req.service) >= req.deadline:
+            return self.refuse(req, Reason.SHORT)
         return self._try_grant(req, now)
 
     def enqueue(self, req: PermitRequest, now: float) -> tuple[bool, Outcome]:
@@ -290,7 +294,8 @@
             queue.remove(last)
             outcome.refused.append(self.refuse(last.request, Reason.DISPLACED))
         self._order += 1
-        queue.append(_Waiter(req, min(req.deadline, now + self._queue_wait_s), self._order))
+        latest_start = req.deadline - self._expected_s(req.service)
+        queue.append(_Waiter(req, min(latest_start, now + self._queue_wait_s), self._order))
         return True, outcome
 
     def finish(self, attempt: str, running: bool, now: float) -> Ended | None:
@@ -378,6 +383,14 @@
             result[state.service] = old.plus(state.headroom(now))
         return result
 
+    def _expected_s(self, service: str) -> float:
+        """Return the time that a request takes at the fastest of the owned instances.
+
+        Only while something is in flight is a request refused for it: what ends tells the time
+        anew, so that one slow answer does not shut a service for good.
+        """
+        return min((s.health.latency.value for s in self._owned_states(service)), default=0.0)
+
     def _owned_states(self, service: str) -> list[SlotState]:
         states = (self.states.get(name) for name in self._owned)
         return [s for s in states if s is not None and s.service == service]
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -167,3 +167,32 @@
 
 
 TestAdmissionMachine = AdmissionMachine.TestCase
+
+
+def busy(latency_s=0.5):
+    """Return an admission whose slots are all taken, and whose answers took so long."""
+    found = admission(reserve=0)
+    for name in ("i0", "i1"):
+        found.observe(found.states[name], Result.OK, latency_s, 0, 0.0)
+    assert take(found, 10) == 6
+    return found
+
+
+def test_request_waits_only_while_it_can_still_be_served_in_time():
+    found = busy()
+    assert found.enqueue(request("w", deadline=0.8), 0.0)[0]
+    assert found.tick(0.25).refused == []
+    assert [r.attempt for r in found.tick(0.35).refused] == ["w"]
+
+
+def test_request_with_less_time_than_one_takes_is_refused_at_once():
+    found = busy()
+    answer = found.request(request("w", deadline=0.4), 0.0)
+    assert isinstance(answer, Refused) and answer.reason is Reason.SHORT
+
+
+def test_one_slow_answer_does_not_shut_an_idle_service():
+    found = admission(reserve=0)
+    for name in ("i0", "i1"):
+        found.observe(found.states[name], Result.OK, 30.0, 0, 0.0)
+    assert isinstance(found.request(request("w", deadline=2.0), 0.0), Granted)
