--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,13 +9,13 @@
 
 
 class Faults:
-    """Begins random faults on a site and ends them; keeps when VMs were killed or frozen."""
+    """Begins random faults on a site and ends them; notes when VMs were killed or frozen."""
 
     def __init__(self, site, rng):
         self.site, self._rng = site, rng
         self._ends = []
         self._down = set()
-        self.violence = []
+        self.interruptions = []
         self.version = 12
         self.service = "lookup"
         self.log = []
@@ -51,9 +51,9 @@
         for end in due:
             end()
 
-    def violent(self, vm, began, ended):
+    def interrupted(self, vm, began, ended):
         """Tell whether a VM was killed or frozen in a time, or just before it."""
-        return any(v == vm and began - 1 <= at <= ended + 1 for v, at in self.violence)
+        return any(v == vm and began - 1 <= at <= ended + 1 for v, at in self.interruptions)
 
     def _running_vm(self):
         """Return a VM that no fault has stopped, None if the one drawn is."""
@@ -146,7 +146,7 @@
         return zone, lambda: self.site.store.remove("evacuations", zone)
 
     def _note(self, vm):
-        self.violence.append((vm.name, time.monotonic()))
+        self.interruptions.append((vm.name, time.monotonic()))
 
     def _wake(self, vm):
         self._note(vm)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -87,7 +87,7 @@
         found = _recovery(site, faults, seed)
         for caller in callers:
             caller.end()
-        found += broken(list(noted), site.runs(), faults.violent)
+        found += broken(list(noted), site.runs(), faults.interrupted)
         if found:
             (folder / "vms.log").write_text(site.logs())
     return found, faults.log, noted
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,10 +5,10 @@
 from tests.soak.callers import KINDS, REFUSALS, is_whole
 
 
-def broken(sent, ran, violent):
+def broken(sent, ran, interrupted):
     """Return a line for each broken promise.
 
-    `ran` are the runs (id, method, path, body) at instances; `violent` tells whether a VM was
+    `ran` are the runs (id, method, path, body) at instances; `interrupted` tells whether a VM was
     killed or frozen in a time.
     """
     found = []
@@ -21,11 +21,11 @@
         elif (method, path, body) != (KINDS[origin.kind][0], origin.path, origin.body):
             found.append(f"UNASKED {name}: run with another method, path or body")
     for s in sent:
-        found += _of_one(s, counts[s.id], violent)
+        found += _of_one(s, counts[s.id], interrupted)
     return found
 
 
-def _of_one(s, runs, violent):
+def _of_one(s, runs, interrupted):
     if s.kind != "read" and runs > 1:
         yield f"TWICE {s.id}: {s.kind} ran {runs} times"
     if s.kind != "read" and s.status in REFUSALS and runs:
@@ -36,5 +36,5 @@
         yield f"DENIED {s.id}: {s.status} from {s.vm}"
     if s.status == 503 and float(s.headers.get("retry-after", "0")) <= 0:
         yield f"NO-RETRY-AFTER {s.id}: 503 from {s.vm}"
-    if s.status == 0 and runs and s.read_by_vm and not violent(s.vm, s.began, s.ended):
+    if s.status == 0 and runs and s.read_by_vm and not interrupted(s.vm, s.began, s.ended):
         yield f"LOST {s.id}: {s.vm} passed it on and gave no answer"
