The age of a delegate that never heard from the store fits the wire

Cause: found by reading: on a machine up for more than 13 days the age in milliseconds passes 32 bits, and the call failed instead of telling that the delegate is not to be followed (the follower went on all the same). Test: fails on the code before.

--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -20,7 +20,7 @@
 a second, half a second passes before the next, and the rest is for the way and late timers."""
 
 NEVER_S = 1e6
-"""Age that stands for: has not heard from the store at all."""
+"""Age that stands for: has not heard from the store at all; as milliseconds it fits 32 bits."""
 
 MAX_REMOVED = 10_000
 """Removed names that a log keeps; after that many it is told whole."""
@@ -109,8 +109,8 @@
         self._heard_at = monotonic()
 
     def age_s(self) -> float:
-        """Return the time since the store's last answer."""
-        return monotonic() - self._heard_at
+        """Return the time since the store's last answer, at most NEVER_S."""
+        return min(NEVER_S, monotonic() - self._heard_at)
 
     def put(self, feed: str, values: Mapping[str, Any], revision: int) -> None:
         """Take in the whole list of a feed as it is now."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -17,7 +17,7 @@
 from gypsumwind.followers import SKIP_S, RelayedFeed, Zone
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import RELAY_AGE_S, Codec, RelayHub, RelayLog
-from gypsumwind.wire import news_from_wire, news_to_wire
+from gypsumwind.wire import news_from_wire, news_to_wire, pack, thrift, unpack
 
 CODECS = {"t": Codec(lambda value: [value], lambda doc: doc[0])}
 VMS = [f"vm-{n}" for n in range(5)]
@@ -206,6 +206,14 @@
     assert fleet.vms[fleet.follower].known == {"a": 1}
 
 
+def test_age_of_a_delegate_that_never_heard_fits_the_wire_on_a_machine_up_for_long(clock):
+    clock.now = 4e6
+    hub = RelayHub(1, CODECS)
+    hub.put("t", {"a": 1}, 1)
+    news = news_from_wire(unpack(thrift.RelayNews, pack(news_to_wire(hub.follow("t", 0, 0, 0.0)))))
+    assert news.age_s > RELAY_AGE_S and news.values == {"a": [1]}
+
+
 def test_removed_names_beyond_what_a_log_keeps_are_told_by_the_whole_list(clock, monkeypatch):
     monkeypatch.setattr(relays, "MAX_REMOVED", 3)
     made = RelayLog(7)
