--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -111,20 +111,22 @@
     deadline = time.monotonic() + RECOVER_S
     while time.monotonic() < deadline and not all(vm.ready() for vm in site.vms.values()):
         time.sleep(0.1)
-    found = [f"RECOVER {vm.name} is not ready" for vm in site.vms.values() if not vm.ready()]
+    found = [f"not-recovered {vm.name} is not ready" for vm in site.vms.values() if not vm.ready()]
     time.sleep(max(0.0, deadline - time.monotonic()))
     noted = []
     caller = Caller(site, 99, seed, noted)
     answered = [caller.send_one(vm) for vm in site.vms.values() for _ in range(CALM_REQUESTS // 4)]
     served = sum(sent.status == 200 for sent in answered)
     if served < CALM_REQUESTS * 0.95:
-        found.append(f"RECOVER {served} of {CALM_REQUESTS} served after the last fault")
+        found.append(f"not-recovered {served} of {CALM_REQUESTS} served after the last fault")
     services = {name: service for name, service, _ in PLACES}
     for sent in answered:
         if sent.kind == "read" and sent.status == 200:
             service = services[sent.data.split()[0].decode()]
             if service != faults.service:
-                found.append(f"CONFIG {sent.id}: run by {service}, in force is {faults.service}")
+                found.append(
+                    f"old-configuration {sent.id}: run by {service}, in force is {faults.service}"
+                )
     for up in site.instances.values():
         up.ran = [run for run in up.ran if not run[0].startswith("c99-")]
     return found
@@ -152,7 +154,7 @@
         try:
             found, log, noted = play(seed, seconds, folder, block)
         except AssertionError as exc:
-            found, log, noted = [f"STUCK {exc}"], [], []
+            found, log, noted = [f"stuck {exc}"], [], []
         good = sum(sent.status == 200 for sent in noted)
         row = f"| {seed} | {len(log)} | {len(noted)} | {good} | {len(found)} |"
         lines.append(row)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -17,9 +17,9 @@
     for name, method, path, body in ran:
         origin = known.get(name)
         if origin is None:
-            found.append(f"UNASKED {name}: run, and sent by no caller")
+            found.append(f"foreign-run {name}: run, and sent by no caller")
         elif (method, path, body) != (KINDS[origin.kind][0], origin.path, origin.body):
-            found.append(f"UNASKED {name}: run with another method, path or body")
+            found.append(f"foreign-run {name}: run with another method, path or body")
     for s in sent:
         found += _of_one(s, counts[s.id], interrupted)
     return found
@@ -27,14 +27,14 @@
 
 def _of_one(s, runs, interrupted):
     if s.kind != "read" and runs > 1:
-        yield f"TWICE {s.id}: {s.kind} ran {runs} times"
+        yield f"ran-twice {s.id}: {s.kind} ran {runs} times"
     if s.kind != "read" and s.status in REFUSALS and runs:
-        yield f"REFUSED {s.id}: {s.kind} got {s.status} from {s.vm} and ran"
+        yield f"refused-but-ran {s.id}: {s.kind} got {s.status} from {s.vm} and ran"
     if s.status == 200 and not is_whole(s):
-        yield f"MIXED {s.id}: a success from {s.vm} that is not the instance's answer"
+        yield f"not-the-answer {s.id}: a success from {s.vm} that is not the instance's answer"
     if 300 <= s.status < 500 and s.status not in REFUSALS:
-        yield f"DENIED {s.id}: {s.status} from {s.vm}"
+        yield f"denied {s.id}: {s.status} from {s.vm}"
     if s.status == 503 and float(s.headers.get("retry-after", "0")) <= 0:
-        yield f"NO-RETRY-AFTER {s.id}: 503 from {s.vm}"
+        yield f"no-retry-after {s.id}: 503 from {s.vm}"
     if s.status == 0 and runs and s.read_by_vm and not interrupted(s.vm, s.began, s.ended):
-        yield f"LOST {s.id}: {s.vm} passed it on and gave no answer"
+        yield f"cut-off {s.id}: {s.vm} passed it on and gave no answer"
