Followers of a large zone form two levels

Cause: in a zone all VMs but the first delegate follow it: by arithmetic 570 calls a second on it in a zone of 190 VMs, which docs/CAPACITY.md listed as not fitting above some 18. Weighed: a tree with a fixed fan-out by rank (a join or loss renumbers and moves most VMs; not taken); relays that push (a lost push needs a second mechanism); two levels by rendezvous, taken: only the followers of a relay that comes or goes move. A limit of age of four seconds at the second level was ruled out, as a leaving instance has to be known in 2.5 s; instead the waits are shorter there. Not measured: real processes in such a zone.

--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -1,7 +1,9 @@
-"""Feeds that are followed at a delegate of the zone, so that few VMs call the platform's store.
+"""Feeds that are followed at another VM of the zone, so that few VMs call the platform's store.
 
-A delegate says how long ago it last heard from the store. A follower that finds this too long ago,
-or reaches no delegate, follows the store itself until one is sound again.
+Every VM says how long ago the store was last heard, by itself or by the one that it follows. A
+follower that finds this too long ago, or reaches none of the VMs that it is to follow, follows the
+store itself until one of them is sound again. As ages are handed on and grow with time, VMs that
+follow each other in a ring, by views of the zone that differ, find each other too old, too.
 """
 
 from collections.abc import Callable, Mapping
@@ -9,9 +11,9 @@
 from typing import Any
 
 from gypsumwind.board import Board
-from gypsumwind.core.delegates import DELEGATES_PER_ZONE, delegates
+from gypsumwind.core.delegates import DELEGATES_PER_ZONE, relays, sources
 from gypsumwind.core.membership import Endpoint
-from gypsumwind.feeds import Changes, Feed
+from gypsumwind.feeds import WAIT_S, Changes, Feed
 from gypsumwind.log import Log
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import RELAY_AGE_S, RELAY_WAIT_S, News, RelayHub
@@ -20,7 +22,15 @@
 log = Log("followers")
 
 SKIP_S = 3.0
-"""Time for which a delegate that failed is not asked again."""
+"""Time for which a VM that failed is not asked again."""
+
+LARGE_ZONE_WAIT_S = 0.5
+"""Longest wait of a delegate's call to the store, in a zone with relays: half a second passes
+before the next, so its age stays under a second."""
+
+RELAY_STEP_S = 0.25
+"""The same of a relay's call to a delegate: with the half second before the next one, the age that
+a relay hands on stays under 1.75 s of `RELAY_AGE_S`."""
 
 
 class Zone:
@@ -39,33 +49,32 @@
             found[self.vm] = members.me.endpoint
         return found
 
-    def relays(self) -> Mapping[str, Endpoint]:
-        """Return the delegates that this VM is to follow, the first one first.
+    def sources(self) -> Mapping[str, Endpoint]:
+        """Return the VMs that this one is to follow, the first choice first.
 
         The second delegate follows the first, and takes its place when that fails: until then it
-        does not hear from the store itself, and nobody follows it. In a zone of delegates alone
-        nobody follows another.
+        does not hear from the store itself, and nobody follows it.
         """
         present = self.present()
-        if len(present) <= DELEGATES_PER_ZONE:
-            return {}
-        named = delegates(self._zone, present)
-        above = named[: named.index(self.vm)] if self.vm in named else named
-        return {vm: present[vm] for vm in above}
+        return {vm: present[vm] for vm in sources(self.vm, self._zone, present)}
 
     def followed(self) -> bool:
         """Tell whether the zone has VMs that follow its delegates."""
         return len(self.present()) > DELEGATES_PER_ZONE
 
+    def relays(self) -> list[str]:
+        """Return the VMs that stand between the delegates and the rest."""
+        return relays(self._zone, self.present())
+
 
 Follow = Callable[[Endpoint, str, int, int, float], News]
 
 
 class RelayedFeed:
-    """A feed that is followed at a delegate of the zone, by the first delegate at the store.
+    """A feed that is followed at a VM of the zone, by the first delegate at the store.
 
     A change of the source is a whole read, so that nothing between the two is missed. `often` marks
-    the feed by which a delegate shows that it hears from the store.
+    the feed by which a VM shows that it, or the one it follows, hears from the store.
     """
 
     def __init__(
@@ -92,23 +101,33 @@
         return self._next(wait_s, after)
 
     def _next(self, wait_s: float, after: int) -> Changes:
-        for vm, endpoint in self._relays():
-            news = self._ask(vm, endpoint, wait_s)
+        for vm, endpoint in self._sources():
+            news = self._ask(vm, endpoint, min(wait_s, RELAY_WAIT_S))
             if news is not None:
                 return self._changes(news.values, news.revision, news.whole, [])
         return self._from_store(wait_s, after)
 
-    def _relays(self) -> list[tuple[str, Endpoint]]:
-        """Return the delegates that may be followed now, the one in use first."""
+    def _sources(self) -> list[tuple[str, Endpoint]]:
+        """Return the VMs that may be followed now.
+
+        The one in use comes first, but in a large zone the first choice does: VMs that went to a
+        delegate for want of their relay would stay there otherwise.
+        """
         now = monotonic()
-        sound = [r for r in self._zone.relays().items() if now >= self._skipped.get(r[0], now)]
-        return sorted(sound, key=lambda relay: relay[0] != self._source)
+        sound = [s for s in self._zone.sources().items() if now >= self._skipped.get(s[0], now)]
+        if self._zone.relays():
+            return sound
+        return sorted(sound, key=lambda source: source[0] != self._source)
 
     def _ask(self, vm: str, endpoint: Endpoint, wait_s: float) -> News | None:
-        """Ask a delegate; None if it does not answer, or has not heard from the store lately."""
+        """Ask another VM; None if it does not answer, or the store was not heard there lately."""
         name, position = self._cursor if vm == self._source else (0, 0)
+        between = self._zone.vm in self._zone.relays()
+        if between and self._often:
+            wait_s = min(wait_s, RELAY_STEP_S)
+        asked_at = monotonic()
         try:
-            news = self._follow(endpoint, self._name, name, position, min(wait_s, RELAY_WAIT_S))
+            news = self._follow(endpoint, self._name, name, position, wait_s)
             decode = self._hub.codecs[self._name].decode
             docs = news.values.items()
             news = replace(
@@ -123,6 +142,9 @@
             return None
         self._use(vm)
         self._cursor = (news.log, news.position)
+        if between:
+            late_s = max(0.0, monotonic() - asked_at - wait_s)
+            self._hub.heard(news.age_s + late_s)
         return news
 
     def _from_store(self, wait_s: float, after: int) -> Changes:
@@ -132,11 +154,16 @@
             found = self._own.read()
             self._use(self._zone.vm)
         else:
-            often = self._often and self._zone.followed()
-            found = self._own.changes(after, min(wait_s, RELAY_WAIT_S) if often else wait_s)
+            found = self._own.changes(after, min(wait_s, self._store_wait_s()))
         self._hub.heard()
         return self._changes(found.values, found.revision, whole, found.faults)
 
+    def _store_wait_s(self) -> float:
+        """Return the longest wait of a call to the store, by who relies on hearing from it."""
+        if not self._often or not self._zone.followed():
+            return WAIT_S
+        return LARGE_ZONE_WAIT_S if self._zone.relays() else RELAY_WAIT_S
+
     def _changes(
         self, values: Mapping[str, Any], revision: int, whole: bool, faults: list
     ) -> Changes:
--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -1,7 +1,8 @@
 """Relays: what the feeds of a VM brought, for the VMs of its zone that follow it.
 
-The delegates of a zone follow the platform's store, the other VMs follow a delegate
-(`followers.py`), so the calls to the store grow with the zones and not with the VMs.
+The first delegate of a zone follows the platform's store, the other VMs follow a delegate, in a
+large zone by way of a few of them (`followers.py`, `core/delegates.py`); so the calls to the store
+grow with the zones and not with the VMs, and no VM has many followers.
 """
 
 import threading
@@ -16,7 +17,7 @@
 each tells that the way is sound."""
 
 RELAY_AGE_S = 2.0
-"""Age of a delegate's last answer from the store from which it is not followed: such a call waits
+"""Age of the store's last answer from which a VM is not followed: such a call of a delegate waits
 a second, half a second passes before the next, and the rest is for the way and late timers."""
 
 NEVER_S = 1e6
@@ -104,9 +105,9 @@
         self._logs = {feed: RelayLog(name) for feed in codecs}
         self._heard_at = -NEVER_S
 
-    def heard(self) -> None:
-        """An answer has come from the store."""
-        self._heard_at = monotonic()
+    def heard(self, age_s: float = 0.0) -> None:
+        """An answer has come from the store, so long ago if by way of another VM."""
+        self._heard_at = max(self._heard_at, monotonic() - age_s)
 
     def age_s(self) -> float:
         """Return the time since the store's last answer, at most NEVER_S."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -2,6 +2,8 @@
 
 import random
 import threading
+from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings
@@ -10,18 +12,26 @@
 
 from gypsumwind import feeds, followers, relays
 from gypsumwind.board import Board, MembersView
-from gypsumwind.core.delegates import delegates
+from gypsumwind.core import delegates as core_delegates
+from gypsumwind.core.delegates import FOLLOWERS, delegates
+from gypsumwind.core.delegates import relays as relays_of
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
-from gypsumwind.followers import SKIP_S, RelayedFeed, Zone
+from gypsumwind.followers import (
+    RELAY_STEP_S,
+    SKIP_S,
+    RelayedFeed,
+    Zone,
+)
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import RELAY_AGE_S, Codec, RelayHub, RelayLog
 from gypsumwind.wire import news_from_wire, news_to_wire, pack, thrift, unpack
 
 CODECS = {"t": Codec(lambda value: [value], lambda doc: doc[0])}
 VMS = [f"vm-{n}" for n in range(5)]
-PLACES = {vm: Endpoint(f"127.0.0.{n}", 0, 0, 1) for n, vm in enumerate(VMS, 1)}
+LARGE = [f"vm-{n}" for n in range(60)]
+PLACES = {vm: Endpoint(f"127.0.0.{n}", 0, 0, 1) for n, vm in enumerate(LARGE, 1)}
 
 
 class Clock:
@@ -51,6 +61,8 @@
     def __init__(self):
         self.values, self.history, self.revision = {}, [], 1
         self.calls = 0
+        self.waited_s = 0.0
+        """Longest wait that the last call, to the store or to a VM, asked for."""
 
     def set(self, name, value):
         self.revision += 1
@@ -70,6 +82,7 @@
 
     def changes(self, after, wait_s):
         self._call()
+        self.store.waited_s = wait_s
         found = {name: value for revision, name, value in self.store.history if revision > after}
         return Changes(found, self.store.revision)
 
@@ -88,9 +101,11 @@
         self.known, self.revisions = {}, []
         me = Member(name, "a1", PLACES[name], boot, State.ALIVE)
         board = Board(me)
-        others = {vm: Member(vm, "a1", PLACES[vm], 1, State.ALIVE) for vm in VMS if vm != name}
+        others = {vm: Member(vm, "a1", PLACES[vm], 1, State.ALIVE) for vm in fleet.names}
+        del others[name]
         board.members = MembersView(me, others, {})
-        feed = RelayedFeed("t", self.own, Zone(name, "a1", board), self.hub, fleet.follow, True)
+        self.zone = Zone(name, "a1", board)
+        feed = RelayedFeed("t", self.own, self.zone, self.hub, fleet.follow, True)
         self.task = FeedTask("t", feed, 0.5, self._publish, random.Random(1))
 
     def _publish(self, values, revision):
@@ -100,20 +115,26 @@
 
 
 class FakeFleet:
-    """A zone of five VMs, two of them delegates, that reach each other unless cut."""
+    """A zone of VMs, two of them delegates, that reach each other unless cut."""
 
-    def __init__(self):
+    def __init__(self, names=VMS):
+        self.names = names
         self.store = Store()
         self.unreachable = set()
-        self.delegates = delegates("a1", VMS)
-        self.vms = {vm: Vm(self, vm) for vm in VMS}
-        self.follower = next(vm for vm in VMS if vm not in self.delegates)
+        self.asked = Counter()
+        self.delegates = delegates("a1", names)
+        self.relays = relays_of("a1", names)
+        self.vms = {vm: Vm(self, vm) for vm in names}
+        self.rest = [vm for vm in names if vm not in {*self.delegates, *self.relays}]
+        self.follower = self.rest[0]
         self.boots = 1
 
     def follow(self, to, feed, log, position, wait_s):
         vm = next(name for name, place in PLACES.items() if place == to)
         if vm in self.unreachable:
             raise PeerError("cut")
+        self.asked[vm] += 1
+        self.store.waited_s = wait_s
         news = self.vms[vm].hub.follow(feed, log, position, 0.0)
         return news_from_wire(news_to_wire(news))
 
@@ -122,9 +143,22 @@
         self.vms[vm] = Vm(self, vm, self.boots)
 
     def step(self, *names):
-        for name in names or [*self.delegates, *(v for v in VMS if v not in self.delegates)]:
+        for name in names or [*self.delegates, *self.relays, *self.rest]:
             self.vms[name].task.step()
 
+    def play(self, clock, seconds, look):
+        """Let the feeds go on in time; a call that waits is played at its end."""
+        rng = random.Random(1)
+        due = {vm: clock.now + rng.random() for vm in self.names}
+        until = clock.now + seconds
+        while min(due.values()) < until:
+            vm = min(due, key=due.get)
+            self.store.waited_s = 0.0
+            clock.now = due[vm]
+            self.vms[vm].task.step()
+            look(vm)
+            due[vm] += self.vms[vm].task.pause_s() + self.store.waited_s
+
 
 def test_only_one_delegate_calls_the_store_and_all_learn_what_changes(clock):
     fleet = FakeFleet()
@@ -235,6 +269,110 @@
     assert [news.values for news in found] == [{"a": 1}]
 
 
+def test_large_zone_asks_no_vm_much_and_the_store_by_one(clock):
+    fleet = FakeFleet(LARGE)
+    fleet.step()
+    fleet.asked.clear()
+    fleet.store.calls = 0
+    fleet.play(clock, 20.0, lambda vm: None)
+    assert fleet.store.calls <= 20 / 1.0 + 1
+    assert max(fleet.asked.values()) <= 20 * 2 * FOLLOWERS / 1.0
+
+
+def test_large_zone_learns_a_change_in_some_seconds_and_no_sound_vm_is_skipped(clock, monkeypatch):
+    events = []
+    log = SimpleNamespace(info=lambda event, **_: events.append(event))
+    monkeypatch.setattr(followers, "log", log)
+    fleet = FakeFleet(LARGE)
+    fleet.step()
+    fleet.play(clock, 5.0, lambda vm: None)
+    fleet.store.set("a", 1)
+    changed = clock.now
+    learnt = learn(fleet, clock, 10.0)
+    assert set(learnt) == set(LARGE) and max(learnt.values()) - changed <= 4.0
+    assert set(fleet.asked) == {fleet.delegates[0], *fleet.relays}
+    assert "feed-source" in events and "relay-skipped" not in events
+
+
+def test_relay_hands_on_the_age_that_it_was_told_and_what_the_answer_was_late(clock, monkeypatch):
+    fleet = FakeFleet(LARGE)
+    fleet.step()
+    relay = fleet.vms[fleet.relays[0]]
+    clock.now += 1.2
+    fleet.step(fleet.relays[0])
+    assert relay.hub.age_s() == pytest.approx(1.2)
+    answer = fleet.follow
+
+    def late(*args):
+        news = answer(*args)
+        clock.now += RELAY_STEP_S + 0.3
+        return news
+
+    monkeypatch.setattr(relay.task._feed, "_follow", late)
+    fleet.step(fleet.delegates[0])
+    fleet.step(fleet.relays[0])
+    assert relay.hub.age_s() == pytest.approx(0.3)
+
+
+def test_follower_goes_back_to_its_relay_from_a_delegate(clock):
+    fleet = FakeFleet(LARGE)
+    fleet.step()
+    fleet.unreachable = set(fleet.relays)
+    fleet.asked.clear()
+    fleet.step(fleet.follower)
+    assert set(fleet.asked) == {fleet.delegates[0]}
+    fleet.unreachable = set()
+    clock.now += SKIP_S
+    fleet.step(fleet.delegates[0], *fleet.relays)
+    fleet.asked.clear()
+    fleet.step(fleet.follower)
+    assert set(fleet.asked) <= set(fleet.relays) and fleet.asked
+
+
+def learn(fleet, clock, seconds):
+    """Let time pass; returns when each VM first knew something."""
+    learnt = {}
+
+    def look(vm):
+        if fleet.vms[vm].known:
+            learnt.setdefault(vm, clock.now)
+
+    fleet.play(clock, seconds, look)
+    return learnt
+
+
+@pytest.mark.parametrize("cut", ["delegates", "relays", "first"])
+def test_large_zone_without_its_usual_way_learns_a_change_all_the_same(clock, cut):
+    """The store is heard two seconds after a VM is found too old, and a call later."""
+    fleet = FakeFleet(LARGE)
+    fleet.step()
+    fleet.play(clock, 3.0, lambda vm: None)
+    lost = {
+        "delegates": set(fleet.delegates),
+        "relays": set(fleet.relays),
+        "first": {fleet.delegates[0]},
+    }[cut]
+    for vm in lost:
+        fleet.vms[vm].own.cut = True
+    fleet.unreachable = lost if cut != "first" else set()
+    fleet.store.set("a", 1)
+    changed = clock.now
+    learnt = learn(fleet, clock, 12.0)
+    sound = set(LARGE) - lost
+    assert set(learnt) >= sound
+    assert max(learnt[vm] for vm in sound) - changed <= RELAY_AGE_S + 3.0
+
+
+def test_vms_that_follow_each_other_in_a_ring_find_each_other_too_old(clock):
+    hubs = [RelayHub(n, CODECS) for n in (1, 2)]
+    hubs[0].heard()
+    for step in range(8):
+        clock.now += 0.5
+        ahead, behind = hubs[step % 2], hubs[1 - step % 2]
+        ahead.heard(behind.age_s())
+    assert min(hub.age_s() for hub in hubs) == 4.0 > RELAY_AGE_S
+
+
 class RelayMachine(RuleBasedStateMachine):
     """Plays changes, cuts, restarts and time; once all is mended nobody stays behind."""
 
@@ -289,5 +427,21 @@
             assert set(vm.known.items()) <= told
 
 
+class LargeZoneMachine(RelayMachine):
+    """The same in a zone with relays between the delegates and the rest."""
+
+    def __init__(self):
+        super().__init__()
+        self.was, core_delegates.FOLLOWERS = core_delegates.FOLLOWERS, 2
+        self.fleet = FakeFleet()
+        assert self.fleet.relays and self.fleet.rest
+
+    def teardown(self):
+        core_delegates.FOLLOWERS = self.was
+        super().teardown()
+
+
+TestLargeZone = LargeZoneMachine.TestCase
+TestLargeZone.settings = settings(max_examples=80, stateful_step_count=30, deadline=None)
 TestRelays = RelayMachine.TestCase
 TestRelays.settings = settings(max_examples=80, stateful_step_count=30, deadline=None)
