At a stop no request is begun behind one that may outlast it

Its callers send ahead. Whether a connection may be read ahead was asked when the service of a request began; so one that had been begun before the stop let others in behind it until its end, their answers waited for its own, and the end cut them all. Shown by a test: a request of 8 s, SIGTERM, then a second request on the same connection ran. Change: reading ahead ends with the stop. And what outlasts the stop is not cut but given up 0.3 s before the deadline with 504, may have run (503 if it still waited here), so that ready answers behind it are delivered. core/stops.py has the phase. Tests: both failed before (the second request ran; no byte was answered), and the state machine.

--- a/gypsumwind/core/stops.py
+++ b/gypsumwind/core/stops.py
@@ -8,13 +8,18 @@
 MARGIN_S = 0.4
 """Part of the time for a stop that is left when the process ends, for its own end."""
 
-REFUSE_S = 1.0
+REFUSE_S = 1.3
 """Requests are refused from this long before the deadline on, even if others are in flight, so that
-what was taken before has time to finish; most requests of the planned loads take less."""
+what was taken before has a second to finish; most requests of the planned loads take less."""
+
+GIVE_UP_S = 0.3
+"""What instances still work on is given up so long before the deadline, which leaves time to say so
+to its callers, and to deliver the ready answers that wait behind it on its connection."""
 
 LISTEN_SHARE = 0.5
 REFUSE_SHARE = 0.25
-"""The most that either may take of a short time for a stop."""
+GIVE_UP_SHARE = 0.06
+"""The most that each may take of a short time for a stop."""
 
 LEAST_REFUSING_S = 0.1
 """Time for which requests are refused at least: those that were being read get their answer."""
@@ -27,17 +32,26 @@
     LEAVING = 1  # serves all, but is not named to callers any more
     CLOSED = 2  # takes no new connections, and requests only on those that are open
     REFUSING = 3  # takes no requests; finishes those in flight
-    ENDED = 4
+    GIVING_UP = 4  # answers for the instances that still work: what they do may have run
+    ENDED = 5
 
 
 class Stop:
     """A planned stop that began at `now` and may take `grace_s`; moved on by `step`.
 
-    A request that is taken and needs less than `REFUSE_S`, less two periods of `step`, is finished
-    before the end, given 4.4 s or more for the stop. The end comes by the deadline.
+    A request that is taken and needs less than a second, less two periods of `step`, is not given
+    up, if the stop may take 5.6 s or more. The end comes by the deadline.
     """
 
-    __slots__ = ("phase", "deadline", "_listen_until", "_refuse_from", "_least_closed_s", "_since")
+    __slots__ = (
+        "phase",
+        "deadline",
+        "_listen_until",
+        "_refuse_from",
+        "_give_up_from",
+        "_least_closed_s",
+        "_since",
+    )
 
     def __init__(self, now: float, grace_s: float, least_closed_s: float) -> None:
         """`least_closed_s`: time in which the server closes connections that are idle."""
@@ -46,6 +60,7 @@
         self.deadline = now + span_s
         self._listen_until = now + min(LISTEN_S, LISTEN_SHARE * span_s)
         self._refuse_from = self.deadline - min(REFUSE_S, REFUSE_SHARE * span_s)
+        self._give_up_from = self.deadline - min(GIVE_UP_S, GIVE_UP_SHARE * span_s)
         self._least_closed_s = least_closed_s
         self._since = now
 
@@ -65,5 +80,7 @@
         if self.phase is Phase.CLOSED:
             idle = not in_flight and now >= self._since + self._least_closed_s
             return idle or now >= self._refuse_from
-        idle = not in_flight and now >= self._since + LEAST_REFUSING_S
-        return idle or now >= self.deadline
+        if self.phase is Phase.REFUSING:
+            idle = not in_flight and now >= self._since + LEAST_REFUSING_S
+            return idle or now >= self._give_up_from
+        return not in_flight or now >= self.deadline
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -73,6 +73,7 @@
     Phase.LEAVING: "leaving",
     Phase.CLOSED: "listener-closed",
     Phase.REFUSING: "refusing",
+    Phase.GIVING_UP: "giving-up",
     Phase.ENDED: "stopped",
 }
 """The log's event at the begin of each phase of a stop."""
@@ -309,4 +310,6 @@
             self._front.ending = True
             self._members.tell(msg.Leave(State.LEFT))
             self._announce.end()
+        elif phase is Phase.GIVING_UP:
+            self._front.give_up()
         log.info(PHASE_EVENTS[phase], in_flight=self._front.in_flight.count)
--- a/gypsumwind/errors.py
+++ b/gypsumwind/errors.py
@@ -36,6 +36,7 @@
     TABLE_NOT_READY = "GW319"
     UPSTREAM_REFUSED = "GW320"
     CANCELLED = "GW321"
+    STOPPED = "GW322"
     INTERNAL = "GW399"
 
 
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -65,8 +65,16 @@
         self._names = names
         self.in_flight = InFlight(cfg.threads - SPARE_THREADS)
         self.ending = False
+        self._given_up = False
+        self._scopes: set[CancelScope] = set()
         self._started_until = monotonic() + START_S
 
+    def give_up(self) -> None:
+        """Answer now for the instances that still work: this process ends before they do."""
+        self._given_up = True
+        for scope in self._scopes.copy():
+            scope.cancel()
+
     def handle(self, ex: Exchange) -> None:
         """Answer one request, in its turn on its connection."""
         served: Served = ex.begun.result() if ex.begun else self._serve(ex)
@@ -108,11 +116,15 @@
         served = Served(monotonic())
         try:
             rule = self._enter(ex, served)
-            with self._hangups.watching(ex.socket, ex.more, scope):
-                served.answer = self._forwarder.serve(ex, rule, served.arrived)
+            with self._hangups.watching(ex.socket, ex.more, scope) as watched:
+                self._scopes.add(watched)
+                try:
+                    served.answer = self._forwarder.serve(ex, rule, served.arrived)
+                finally:
+                    self._scopes.discard(watched)
                 served.verdict = served.answer.verdict
         except RequestError as exc:
-            served.error = exc
+            served.error = _stopped(exc) if self._given_up else exc
         except Exception as exc:
             served.error = internal_error(exc)
         if served.error is not None:
@@ -166,3 +178,13 @@
             error=exc.message,
         )
         ex.send_error(exc, self._cfg.vm, self._board.leaving, fractions=True)
+
+
+def _stopped(exc: RequestError) -> RequestError:
+    """Return what the caller of a request is told that was given up at a stop."""
+    if exc.code is not Code.CANCELLED:
+        return exc
+    text = "this VM stops before an instance has answered"
+    if exc.verdict is Verdict.NOT_RUN:
+        return RequestError(Code.STOPPED, text, exc.verdict, 503, ENDING_RETRY_S)
+    return RequestError(Code.STOPPED, text, exc.verdict, 504)
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -141,8 +141,11 @@
         return _Serving(self, req.bodiless and self.allowed())
 
     def more(self) -> None:
-        """More bytes have arrived while a request is served: have them read."""
-        if self.may_read and not self._asked and len(self.ahead) < MAX_AHEAD:
+        """More bytes have arrived while a request is served: have them read.
+
+        Not once that is no longer allowed, as at a stop: the request that is served may outlast it.
+        """
+        if self.may_read and self.allowed() and not self._asked and len(self.ahead) < MAX_AHEAD:
             self._asked = True
             self.helpers.submit(self._read)
 
@@ -159,7 +162,7 @@
 
     def _read_requests(self) -> None:
         """Read one request, and those whose bytes are here already."""
-        while self.may_read and len(self.ahead) < MAX_AHEAD:
+        while self.may_read and self.allowed() and len(self.ahead) < MAX_AHEAD:
             req = AheadRequest(self.server, self)
             req.read_ahead()
             self.ahead.append(req)
