An error that closes a connection is not lost to a reset; the soak sends ahead

Successes that close a connection are followed by 0.3 s of reading on; errors were not, so what the caller had sent behind was answered by a reset, and its next send failed before it had read. Shown without the soak: a caller that sends on after such an error got EPIPE. Ruled out: that the answer had not been written (its line is 0.3 s before the end of the process). Change: servers.send_error reads on as send_answer does.

--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -158,7 +158,8 @@
         With `fractions`, for callers that read them, the time to come back is not rounded.
         """
         rest = self._skip_body()
-        if closing and not self.followed:
+        closing = closing and not self.followed
+        if closing:
             self._req.close_connection = True
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
@@ -176,8 +177,8 @@
             headers.append(("Retry-After", str(wait)))
         self._start(exc.status, headers, len(data))
         self._req.write(data)
-        if rest:
-            self._linger(LINGER_S)
+        if rest or closing:
+            self._linger(LINGER_S if rest else CLOSE_LINGER_S)
 
     def _skip_body(self) -> bool:
         """Read a small rest of the body; tell whether a large one is left on the connection."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,8 +3,10 @@
 import http.client
 import itertools
 import random
+import socket
 import threading
 import time
+from collections import deque
 from dataclasses import dataclass, field
 
 from tests.standins import platform
@@ -19,6 +21,15 @@
 DEADLINE_MS = 3000
 PAUSE_S = 0.03
 
+AHEAD = 3
+"""Requests that a caller which sends ahead keeps on the way."""
+
+AHEAD_PAUSE_S = 0.5
+"""Longest pause between two of them: a fault may come between."""
+
+AHEAD_DEADLINE_MS = 9000
+"""Longer than a planned stop takes, so that a request may outlast it."""
+
 
 @dataclass
 class Sent:
@@ -102,6 +113,57 @@
             conn.close()
 
 
+class AheadCaller(Caller):
+    """Keeps several reads on the way on one connection, and takes the answers in their order."""
+
+    def run(self):
+        while not self._told_to_end.is_set():
+            vm = self._rng.choice(list(self._site.vms.values()))
+            waiting = deque()
+            try:
+                with socket.create_connection((vm.ip, platform.FRONT), 12) as sock:
+                    self._talk(vm, sock, waiting)
+            except (OSError, ValueError, http.client.HTTPException):
+                self._told_to_end.wait(PAUSE_S)
+            for sent in waiting:
+                sent.ended = time.monotonic()
+            self._noted.extend(waiting)
+
+    def _talk(self, vm, sock, waiting):
+        """Send and read until an answer closes the connection, or the caller is to end."""
+        answers = sock.makefile("rb")
+        while waiting or not self._told_to_end.is_set():
+            while len(waiting) < AHEAD and not self._told_to_end.is_set():
+                sent = self._next(vm)
+                sock.sendall(_head(sent))
+                waiting.append(sent)
+                self._told_to_end.wait(AHEAD_PAUSE_S * self._rng.random())
+            sent = waiting[0]
+            line = answers.readline()
+            if not line:
+                return
+            sent.status = int(line.split()[1])
+            sent.headers = {n.lower(): v for n, v in http.client.parse_headers(answers).items()}
+            sent.data = answers.read(int(sent.headers["content-length"]))
+            sent.ended = time.monotonic()
+            self._noted.append(waiting.popleft())
+            if sent.headers.get("connection") == "close":
+                return
+
+    def _next(self, vm):
+        name = f"{self._name}-{next(self._ids)}"
+        path = f"{KINDS['read'][2]}{self._rng.randrange(20)}"
+        return Sent(name, "read", path, b"", vm.name, time.monotonic())
+
+
+def _head(sent):
+    return (
+        f"GET {sent.path} HTTP/1.1\r\nHost: {KINDS['read'][1]}\r\n"
+        f"Gypsumwind-Request-Id: {sent.id}\r\nGypsumwind-Affinity-Key: {sent.path}\r\n"
+        f"Gypsumwind-Deadline-Ms: {AHEAD_DEADLINE_MS}\r\n\r\n"
+    ).encode()
+
+
 def is_whole(sent):
     """Tell whether a success is an instance's whole answer to this very request."""
     signed = sent.headers.get(SIGNATURE.lower()) == f"signed.{sent.id}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,9 @@
 from tests.standins import platform
 from tests.standins.fleet import until
 
+TIMEOUT_S = 20
+"""Time-out of every rule, in seconds: longer than a planned stop takes."""
+
 
 class Faults:
     """Begins random faults on a site and ends them; notes when VMs were killed or frozen."""
@@ -21,6 +24,7 @@
         self.log = []
         self._kinds = [
             self._instance_fails,
+            self._instance_is_slow,
             self._instance_leaves,
             self._link_fails,
             self._connections_reset,
@@ -33,6 +37,7 @@
             self._configuration_changes,
             self._zone_is_emptied,
         ]
+        self._configuration_changes()
 
     def begin_one(self):
         """Begin a fault; what it leaves is ended by end_due()."""
@@ -71,6 +76,11 @@
         up.mode = self._rng.choice(["cut", "short", "unsigned", "fail", "shed", "extra"])
         return f"{up.name} {up.mode}", lambda: setattr(up, "mode", "ok")
 
+    def _instance_is_slow(self):
+        up = self._instance()
+        up.work_s = self._rng.uniform(0.5, 9.0)
+        return f"{up.name} {up.work_s:.1f} s", lambda: setattr(up, "work_s", 0.0)
+
     def _instance_leaves(self):
         up = self._instance()
         self.site.register(up.name, state="draining")
@@ -101,8 +111,13 @@
         if vm is None:
             return "none", None
         self._down.add(vm.name)
+        slow = self._instance() if self._rng.random() < 0.5 else None
+        if slow is not None:
+            slow.work_s = self._rng.uniform(6.0, 9.0)
+            time.sleep(self._rng.uniform(0.2, 1.0))
+            slow.work_s = 0.0
         vm.process.send_signal(signal.SIGTERM)
-        return vm.name, lambda: self._start(vm)
+        return f"{vm.name} {slow and slow.name}", lambda: self._start(vm)
 
     def _vm_is_killed(self):
         vm = self._running_vm()
@@ -134,7 +149,10 @@
         self.service = self._rng.choice(["lookup", "files"])
         config = copy.deepcopy(platform.CONFIG)
         config["version"] = f"{self.version:08x}"
-        config["listeners"][0]["routingRules"][0]["action"]["service"] = self.service
+        rules = config["listeners"][0]["routingRules"]
+        rules[0]["action"]["service"] = self.service
+        for rule in rules:
+            rule["action"]["timeoutS"] = TIMEOUT_S
         self.site.store.put("config", "main", config)
         return f"{self.version} {self.service}", None
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -14,7 +14,7 @@
 
 import click
 
-from tests.soak.callers import Caller
+from tests.soak.callers import AheadCaller, Caller
 from tests.soak.faults import Faults
 from tests.soak.promises import broken
 from tests.standins import platform
@@ -31,6 +31,7 @@
 ]
 ZONES = ("a1", "a1", "a1", "b1")
 CALLERS = 8
+AHEAD_CALLERS = 4
 GAP_S = 0.8
 """Mean time between two faults."""
 
@@ -80,6 +81,7 @@
         for vm in site.vms.values():
             until(vm.ready, text=f"{vm.name} is ready")
         callers = [Caller(site, n, seed, noted) for n in range(CALLERS)]
+        callers += [AheadCaller(site, CALLERS + n, seed, noted) for n in range(AHEAD_CALLERS)]
         for caller in callers:
             caller.start()
         faults = Faults(site, rng)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,9 +1,11 @@
 """Answers of the HTTP server that need no daemon."""
 
 import socket
+import time
 
 import pytest
 
+from gypsumwind import servers
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.servers import InFlight, Server
@@ -43,6 +45,20 @@
     assert "Retry-After" not in answer(exc)
 
 
+def test_caller_that_sends_behind_an_error_that_closes_can_still_read_it(monkeypatch):
+    """A connection that is closed at once resets what comes; callers read no more after that."""
+    monkeypatch.setattr(servers, "CLOSE_LINGER_S", 10.0)
+    exc = RequestError(Code.STOPPED, "this VM stops", Verdict.MAY_HAVE_RUN, 504)
+    server = Server("test", "127.0.0.1", PORT, 2, lambda ex: ex.send_error(exc, "vm", closing=True))
+    with server, socket.create_connection(("127.0.0.1", PORT), 5) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        sock.recv(1, socket.MSG_PEEK)
+        for _ in range(4):
+            time.sleep(0.05)
+            sock.sendall(b"GET /next HTTP/1.1\r\n")
+        assert sock.recv(65536).startswith(b"HTTP/1.1 504 ")
+
+
 @pytest.mark.parametrize("low", [1, 2, 7])
 def test_requests_of_lower_classes_leave_room_for_the_highest(low):
     """An overloaded VM: all that come stay in flight until the limit refuses them."""
