Relays hand on what the store said, not what they keep

So a VM that had known better took back what had left. Ruled out: an older revision that wins (records only rise; the delegate's was newer). Found beside it by reading: one age stood for all feeds, so a delegate whose configuration feed had found the store first counted as sound with an old list of instances. Change: the hub gets the list as its source tells it, not the feed task's; with it goes for how long entries may be missing, so that followers keep those that they have, and take none back. The feed of instances tells its own age. Tests: one for each, and the state machine. The earlier test that a follower does take such an entry and loses it later is replaced: it described the fault.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -63,6 +63,9 @@
 }
 """How relays hand on the values of each feed."""
 
+OFTEN = frozenset({"upstreams"})
+"""Feeds that change many times a second, so that their calls tell a VM's way to the store."""
+
 SWEEP_S = 1.0
 """Period in which connections that are idle or slow for too long are ended."""
 
@@ -142,7 +145,7 @@
         self._connections = Connections(cfg.ip)
         self._exchanger = Exchanger(self._connections, names, read_load)
         self._names = names
-        self._hub = RelayHub(self._boot, CODECS)
+        self._hub = RelayHub(self._boot, CODECS, OFTEN)
 
     def __enter__(self) -> "DirectDaemon":
         try:
@@ -224,7 +227,6 @@
                 UPSTREAMS_PACE_S,
                 self._put_upstreams,
                 lambda: (self.board.upstreams.by_id or {}, self.board.upstreams.revision),
-                often=True,
             ),
             CLOSED_ZONES_KEY: self._feed_task(
                 "closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed
@@ -238,18 +240,13 @@
         pace_s: float,
         put: Callable[[Mapping[str, Any], int], None],
         known: Callable[[], tuple[Mapping[str, Any], int]] = lambda: ({}, 0),
-        often: bool = False,
     ) -> FeedTask:
         """Return the task of a feed that is followed at a delegate, or by one at the store."""
-        cfg, hub = self._cfg, self._hub
+        cfg = self._cfg
         zone = Zone(cfg.vm, cfg.zone, self.board)
-        feed = RelayedFeed(name, own, zone, hub, Peers(cfg.ip, FOLLOW_TIMEOUT_S).follow, often)
-
-        def publish(values: Mapping[str, Any], revision: int) -> None:
-            hub.put(name, values, revision)
-            put(values, revision)
-
-        return FeedTask(name, feed, pace_s, publish, self._rng, known)
+        follow = Peers(cfg.ip, FOLLOW_TIMEOUT_S).follow
+        feed = RelayedFeed(name, own, zone, self._hub, follow)
+        return FeedTask(name, feed, pace_s, put, self._rng, known)
 
     def _put_rules(self, values: Mapping[str, Ruleset], revision: int) -> None:
         for rules in values.values():
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from gypsumwind.errors import Code, StoreError
@@ -33,11 +33,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Changes:
-    """Values by name (None: removed or malformed), the revision, and what was malformed."""
+    """Values by name (None: removed or malformed), the revision, and what was malformed.
+
+    For `grace_s` values may be missing that lapsed while the source was without the store.
+    """
 
     values: Mapping[str, Any]
     revision: int
     faults: list[tuple[str, int, str]] = field(default_factory=list)
+    grace_s: float = 0.0
 
 
 class Feed(Protocol):
@@ -115,10 +119,11 @@
         if revision > self._newest:
             self._values = dict(known)
         gone = {name: None for name in self._values if name not in found.values}
-        self._take(Changes({**gone, **found.values}, found.revision, found.faults))
+        self._take(replace(found, values={**gone, **found.values}))
 
     def _take(self, found: Changes) -> None:
         self._regained()
+        self._grace_until = max(self._grace_until, monotonic() + found.grace_s)
         self._log_faults(found)
         changed = self._revision is None
         self._revision = self._newest = found.revision
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -13,7 +13,8 @@
 from gypsumwind.board import Board
 from gypsumwind.core.delegates import DELEGATES_PER_ZONE, relays, sources
 from gypsumwind.core.membership import Endpoint
-from gypsumwind.feeds import WAIT_S, Changes, Feed
+from gypsumwind.errors import Code, StoreError
+from gypsumwind.feeds import LAPSE_GRACE_S, WAIT_S, Changes, Feed
 from gypsumwind.log import Log
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import RELAY_AGE_S, RELAY_WAIT_S, News, RelayHub
@@ -73,23 +74,23 @@
 class RelayedFeed:
     """A feed that is followed at a VM of the zone, by the first delegate at the store.
 
-    A change of the source is a whole read, so that nothing between the two is missed. `often` marks
-    the feed by which a VM shows that it, or the one it follows, hears from the store.
+    A change of the source is a whole read, so that nothing between the two is missed. The list is
+    handed on as the source tells it, with the time for which entries may be missing after the store
+    was lost: a follower then keeps those that it has, and takes none back.
     """
 
-    def __init__(
-        self, name: str, own: Feed, zone: Zone, hub: RelayHub, follow: Follow, often: bool = False
-    ) -> None:
+    def __init__(self, name: str, own: Feed, zone: Zone, hub: RelayHub, follow: Follow) -> None:
         self._name = name
         self._own = own
         self._zone = zone
         self._hub = hub
         self._follow = follow
-        self._often = often
+        self._often = name in hub.often
         self._skipped: dict[str, float] = {}
         self._source: str | None = None
         self._cursor = (0, 0)
-        self._names: set[str] = set()
+        self._listed: dict[str, Any] = {}
+        self._lost = False
 
     def read(self) -> Changes:
         """Return the whole list."""
@@ -104,7 +105,8 @@
         for vm, endpoint in self._sources():
             news = self._ask(vm, endpoint, min(wait_s, RELAY_WAIT_S))
             if news is not None:
-                return self._changes(news.values, news.revision, news.whole, [])
+                self._hub.keep(self._name, news.grace_s)
+                return self._changes(news.values, news.revision, news.whole, [], news.grace_s)
         return self._from_store(wait_s, after)
 
     def _sources(self) -> list[tuple[str, Endpoint]]:
@@ -144,19 +146,27 @@
         self._cursor = (news.log, news.position)
         if between:
             late_s = max(0.0, monotonic() - asked_at - wait_s)
-            self._hub.heard(news.age_s + late_s)
+            self._hub.heard(self._name, news.age_s + late_s)
         return news
 
     def _from_store(self, wait_s: float, after: int) -> Changes:
         """Follow the store itself."""
         whole = self._source != self._zone.vm
-        if whole:
-            found = self._own.read()
-            self._use(self._zone.vm)
-        else:
-            found = self._own.changes(after, min(wait_s, self._store_wait_s()))
-        self._hub.heard()
-        return self._changes(found.values, found.revision, whole, found.faults)
+        try:
+            if whole:
+                found = self._own.read()
+                self._use(self._zone.vm)
+            else:
+                found = self._own.changes(after, min(wait_s, self._store_wait_s()))
+        except StoreError as exc:
+            self._lost |= exc.code is not Code.STORE_HISTORY_GONE
+            raise
+        if self._lost:
+            self._lost = False
+            self._hub.keep(self._name, LAPSE_GRACE_S)
+        changes = self._changes(found.values, found.revision, whole, found.faults)
+        self._hub.heard(self._name)
+        return changes
 
     def _store_wait_s(self) -> float:
         """Return the longest wait of a call to the store, by who relies on hearing from it."""
@@ -165,13 +175,21 @@
         return LARGE_ZONE_WAIT_S if self._zone.relays() else RELAY_WAIT_S
 
     def _changes(
-        self, values: Mapping[str, Any], revision: int, whole: bool, faults: list
+        self,
+        values: Mapping[str, Any],
+        revision: int,
+        whole: bool,
+        faults: list,
+        grace_s: float = 0.0,
     ) -> Changes:
-        """Return changes, with what a whole list no longer names as removed."""
-        gone = self._names - set(values) if whole else set()
-        self._names -= gone | {name for name, value in values.items() if value is None}
-        self._names |= {name for name, value in values.items() if value is not None}
-        return Changes({**dict.fromkeys(gone), **values}, revision, faults)
+        """Hand on the list, and return changes; what a whole one no longer names is removed."""
+        gone = dict.fromkeys(set(self._listed) - set(values)) if whole else {}
+        changed = {**gone, **values}
+        listed = {n: v for n, v in {**self._listed, **changed}.items() if v is not None}
+        if listed != self._listed or whole:
+            self._hub.put(self._name, listed, revision)
+        self._listed = listed
+        return Changes(changed, revision, faults, grace_s)
 
     def _use(self, source: str) -> None:
         if source != self._source:
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -146,6 +146,7 @@
   4: i32 age_ms
   5: bool whole
   6: binary values
+  7: i32 grace_ms
 }
 
 service Peer {
--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -40,7 +40,8 @@
     """What a relay's log tells: its name and position, the store's revision, and the values.
 
     With `whole`, names that are not in `values` are gone. `age_s` is the time since the relay
-    last heard from the store.
+    last heard from the store. For `grace_s` entries may be missing that lapsed while the store was
+    away.
     """
 
     log: int
@@ -49,6 +50,7 @@
     age_s: float
     whole: bool
     values: Mapping[str, Any]
+    grace_s: float = 0.0
 
 
 class RelayLog:
@@ -95,32 +97,44 @@
 
 
 class RelayHub:
-    """The logs of this VM's feeds, and when it last heard from the store.
+    """The logs of this VM's feeds, and when the store was last heard, here or by another VM.
 
-    `name` tells the logs of two starts of a process apart.
+    `name` tells the logs of two starts of a process apart. Feeds named in `often` call the store so
+    often that each tells its own age; the others wait long for changes, and count as sound while
+    any feed hears from the store.
     """
 
-    def __init__(self, name: int, codecs: Mapping[str, Codec]) -> None:
+    def __init__(
+        self, name: int, codecs: Mapping[str, Codec], often: frozenset[str] = frozenset()
+    ) -> None:
         self.codecs = codecs
+        self.often = often
         self._logs = {feed: RelayLog(name) for feed in codecs}
-        self._heard_at = -NEVER_S
+        self._heard_at = dict.fromkeys(codecs, -NEVER_S)
+        self._grace_until = dict.fromkeys(codecs, -NEVER_S)
 
-    def heard(self, age_s: float = 0.0) -> None:
-        """An answer has come from the store, so long ago if by way of another VM."""
-        self._heard_at = max(self._heard_at, monotonic() - age_s)
+    def heard(self, feed: str, age_s: float = 0.0) -> None:
+        """A feed has an answer from the store, so long ago if by way of another VM."""
+        self._heard_at[feed] = max(self._heard_at[feed], monotonic() - age_s)
 
-    def age_s(self) -> float:
-        """Return the time since the store's last answer, at most NEVER_S."""
-        return min(NEVER_S, monotonic() - self._heard_at)
+    def age_s(self, feed: str) -> float:
+        """Return the time since the store's last answer that counts for a feed, at most NEVER_S."""
+        at = self._heard_at[feed] if feed in self.often else max(self._heard_at.values())
+        return min(NEVER_S, monotonic() - at)
+
+    def keep(self, feed: str, seconds: float) -> None:
+        """For so long entries may be missing that lapsed while the store was away."""
+        self._grace_until[feed] = max(self._grace_until[feed], monotonic() + seconds)
 
     def put(self, feed: str, values: Mapping[str, Any], revision: int) -> None:
-        """Take in the whole list of a feed as it is now."""
+        """Take in the whole list of a feed as the store tells it."""
         self._logs[feed].put(values, revision)
 
     def follow(self, feed: str, name: int, position: int, wait_s: float) -> News:
         """Answer a follower, with the values as documents; KeyError for an unknown feed."""
         wait_s = min(wait_s, RELAY_WAIT_S)
-        news = self._logs[feed].follow(name, position, wait_s, self.age_s)
+        news = self._logs[feed].follow(name, position, wait_s, lambda: self.age_s(feed))
         encode = self.codecs[feed].encode
         docs = {n: None if value is None else encode(value) for n, value in news.values.items()}
-        return replace(news, values=docs)
+        grace_s = max(0.0, self._grace_until[feed] - monotonic())
+        return replace(news, values=docs, grace_s=grace_s)
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -178,7 +178,10 @@
     """Convert what a relay tells, its values being documents."""
     values = pack_json(news.values)
     age_ms = int(news.age_s * 1000)
-    return thrift.RelayNews(news.log, news.position, news.revision, age_ms, news.whole, values)
+    grace_ms = int(news.grace_s * 1000)
+    return thrift.RelayNews(
+        news.log, news.position, news.revision, age_ms, news.whole, values, grace_ms
+    )
 
 
 def news_from_wire(wire: Any) -> News:
@@ -187,4 +190,5 @@
     values = unpack_json(data)
     if not isinstance(values, dict):
         raise ValueError("news of a relay: the values are no document")
-    return News(wire.log, wire.position, wire.revision, wire.age_ms / 1000.0, wire.whole, values)
+    age_s, grace_s = wire.age_ms / 1000.0, wire.grace_ms / 1000.0
+    return News(wire.log, wire.position, wire.revision, age_s, wire.whole, values, grace_s)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -97,7 +97,7 @@
 
     def __init__(self, fleet, name, boot=1):
         self.own = StoreFeed(fleet.store)
-        self.hub = RelayHub(boot, CODECS)
+        self.hub = RelayHub(boot, CODECS, frozenset("t"))
         self.known, self.revisions = {}, []
         me = Member(name, "a1", PLACES[name], boot, State.ALIVE)
         board = Board(me)
@@ -105,11 +105,10 @@
         del others[name]
         board.members = MembersView(me, others, {})
         self.zone = Zone(name, "a1", board)
-        feed = RelayedFeed("t", self.own, self.zone, self.hub, fleet.follow, True)
+        feed = RelayedFeed("t", self.own, self.zone, self.hub, fleet.follow)
         self.task = FeedTask("t", feed, 0.5, self._publish, random.Random(1))
 
     def _publish(self, values, revision):
-        self.hub.put("t", values, revision)
         self.known = values
         self.revisions.append(revision)
 
@@ -210,23 +209,58 @@
     assert fleet.vms[fleet.follower].known == {"a": 1} and fleet.store.calls == 0
 
 
-def test_entry_that_a_delegate_keeps_for_a_while_is_not_kept_for_good(clock):
-    """A delegate keeps what lapsed while the store was away; its follower then loses it."""
-    fleet = FakeFleet()
-    fleet.store.set("a", 1)
-    fleet.step()
+def lose_and_regain(fleet, change):
+    """Cut the delegates from the store while it changes, and let them find it again."""
     for vm in fleet.delegates:
         fleet.vms[vm].own.cut = True
     fleet.step(*fleet.delegates)
-    fleet.store.set("a", None)
-    fleet.store.set("b", 2)
+    change()
     for vm in fleet.delegates:
         fleet.vms[vm].own.cut = False
+
+
+def test_entry_that_a_delegate_keeps_after_it_lost_the_store_is_not_taken_back_from_it(clock):
+    """The delegates were cut off; the follower heard from the store meanwhile."""
+    fleet = FakeFleet()
+    fleet.store.set("a", 1)
     fleet.step()
-    assert fleet.vms[fleet.follower].known == {"a": 1, "b": 2}
-    fleet.unreachable = set(fleet.delegates)
+    lose_and_regain(fleet, lambda: fleet.store.set("a", None))
+    clock.now += RELAY_AGE_S
+    fleet.step(fleet.follower)
+    assert fleet.vms[fleet.follower].known == {}
+    clock.now += SKIP_S
+    fleet.store.set("b", 2)
+    fleet.step(*fleet.delegates)
+    assert fleet.vms[fleet.delegates[0]].known == {"a": 1, "b": 2}
+    fleet.asked.clear()
     fleet.step(fleet.follower)
-    assert fleet.vms[fleet.follower].known == {"b": 2}
+    assert fleet.asked and fleet.vms[fleet.follower].known == {"b": 2}
+
+
+def test_entries_that_lapsed_while_a_delegate_had_no_store_are_kept_by_its_followers_too(clock):
+    """The follower never missed the store: the outage was shorter than the age it bears."""
+    fleet = FakeFleet()
+    fleet.store.set("a", 1)
+    fleet.step()
+    lose_and_regain(fleet, lambda: fleet.store.set("a", None))
+    clock.now += RELAY_AGE_S / 2
+    fleet.step()
+    assert all(vm.known == {"a": 1} for vm in fleet.vms.values())
+    clock.now += feeds.LAPSE_GRACE_S / 2
+    fleet.store.set("b", 2)
+    fleet.step()
+    clock.now += feeds.LAPSE_GRACE_S / 2 + 0.1
+    fleet.step()
+    assert all(vm.known == {"b": 2} for vm in fleet.vms.values())
+
+
+def test_delegate_whose_list_is_old_is_not_followed_though_another_feed_has_the_store(clock):
+    hub = RelayHub(1, {"t": CODECS["t"], "quiet": CODECS["t"]}, frozenset("t"))
+    hub.put("t", {"a": 1}, 1)
+    hub.heard("t")
+    clock.now += 3.0
+    hub.heard("quiet")
+    assert hub.follow("t", 0, 0, 0.0).age_s == 3.0 and hub.age_s("quiet") == 0.0
 
 
 def test_delegate_that_has_just_started_hands_on_no_empty_list(clock):
@@ -235,7 +269,7 @@
     fleet.step()
     for vm in fleet.delegates:
         fleet.restart(vm)
-        fleet.vms[vm].hub.heard()
+        fleet.vms[vm].hub.heard("t")
     fleet.step(fleet.follower)
     assert fleet.vms[fleet.follower].known == {"a": 1}
 
@@ -300,7 +334,7 @@
     relay = fleet.vms[fleet.relays[0]]
     clock.now += 1.2
     fleet.step(fleet.relays[0])
-    assert relay.hub.age_s() == pytest.approx(1.2)
+    assert relay.hub.age_s("t") == pytest.approx(1.2)
     answer = fleet.follow
 
     def late(*args):
@@ -311,7 +345,7 @@
     monkeypatch.setattr(relay.task._feed, "_follow", late)
     fleet.step(fleet.delegates[0])
     fleet.step(fleet.relays[0])
-    assert relay.hub.age_s() == pytest.approx(0.3)
+    assert relay.hub.age_s("t") == pytest.approx(0.3)
 
 
 def test_follower_goes_back_to_its_relay_from_a_delegate(clock):
@@ -365,12 +399,12 @@
 
 def test_vms_that_follow_each_other_in_a_ring_find_each_other_too_old(clock):
     hubs = [RelayHub(n, CODECS) for n in (1, 2)]
-    hubs[0].heard()
+    hubs[0].heard("t")
     for step in range(8):
         clock.now += 0.5
         ahead, behind = hubs[step % 2], hubs[1 - step % 2]
-        ahead.heard(behind.age_s())
-    assert min(hub.age_s() for hub in hubs) == 4.0 > RELAY_AGE_S
+        ahead.heard("t", behind.age_s("t"))
+    assert min(hub.age_s("t") for hub in hubs) == 4.0 > RELAY_AGE_S
 
 
 class RelayMachine(RuleBasedStateMachine):
