Soak: callers that send ahead read while they send

Change: the callers read as soon as something is there, go on reading when a send fails, take a short body for none, and pause between connections.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,10 +3,12 @@
 import http.client
 import itertools
 import random
+import select
 import socket
 import threading
 import time
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from tests.standins import platform
@@ -120,33 +122,29 @@
         while not self._told_to_end.is_set():
             vm = self._rng.choice(list(self._site.vms.values()))
             waiting = deque()
-            try:
-                with socket.create_connection((vm.ip, platform.FRONT), 12) as sock:
-                    self._talk(vm, sock, waiting)
-            except (OSError, ValueError, http.client.HTTPException):
-                self._told_to_end.wait(PAUSE_S)
+            with (
+                suppress(OSError, ValueError, http.client.HTTPException),
+                socket.create_connection((vm.ip, platform.FRONT), 12) as sock,
+            ):
+                self._talk(vm, sock, waiting)
             for sent in waiting:
                 sent.ended = time.monotonic()
             self._noted.extend(waiting)
+            self._told_to_end.wait(PAUSE_S)
 
     def _talk(self, vm, sock, waiting):
         """Send and read until an answer closes the connection, or the caller is to end."""
-        answers = sock.makefile("rb")
-        while waiting or not self._told_to_end.is_set():
-            while len(waiting) < AHEAD and not self._told_to_end.is_set():
-                sent = self._next(vm)
-                sock.sendall(_head(sent))
-                waiting.append(sent)
-                self._told_to_end.wait(AHEAD_PAUSE_S * self._rng.random())
-            sent = waiting[0]
-            line = answers.readline()
-            if not line:
+        answers, sends = sock.makefile("rb"), True
+        while waiting or (sends and not self._told_to_end.is_set()):
+            while sends and len(waiting) < AHEAD and not self._told_to_end.is_set():
+                waiting.append(self._next(vm))
+                sends = _sent(sock, waiting[-1])
+                if select.select([sock], [], [], AHEAD_PAUSE_S * self._rng.random())[0]:
+                    break
+            if not _answered(answers, waiting[0]):
                 return
-            sent.status = int(line.split()[1])
-            sent.headers = {n.lower(): v for n, v in http.client.parse_headers(answers).items()}
-            sent.data = answers.read(int(sent.headers["content-length"]))
-            sent.ended = time.monotonic()
-            self._noted.append(waiting.popleft())
+            sent = waiting.popleft()
+            self._noted.append(sent)
             if sent.headers.get("connection") == "close":
                 return
 
@@ -156,12 +154,33 @@
         return Sent(name, "read", path, b"", vm.name, time.monotonic())
 
 
-def _head(sent):
-    return (
+def _sent(sock, sent):
+    """Send a request; False when the connection takes no more, and only answers are to come."""
+    data = (
         f"GET {sent.path} HTTP/1.1\r\nHost: {KINDS['read'][1]}\r\n"
         f"Gypsumwind-Request-Id: {sent.id}\r\nGypsumwind-Affinity-Key: {sent.path}\r\n"
         f"Gypsumwind-Deadline-Ms: {AHEAD_DEADLINE_MS}\r\n\r\n"
     ).encode()
+    try:
+        sock.sendall(data)
+    except OSError:
+        return False
+    return True
+
+
+def _answered(answers, sent):
+    """Read the answer to a request; False when the connection ends instead."""
+    line = answers.readline()
+    if not line:
+        return False
+    headers = {n.lower(): v for n, v in http.client.parse_headers(answers).items()}
+    length = int(headers["content-length"])
+    data = answers.read(length)
+    if len(data) < length:
+        return False
+    sent.status, sent.headers, sent.data = int(line.split()[1]), headers, data
+    sent.ended = time.monotonic()
+    return True
 
 
 def is_whole(sent):
