Two red tests for DRAIN on the grown fleet; the log writes though lines come as fast

Traced: the writer emptied the queue until it found it empty, so lines that came as fast kept it from writing at all, and all 8,000 fitted in its hands. It takes now what is queued when it looks. Test: a queue that fills as fast (failed before: nothing written in 10 s). The old test writes 15,000 lines, as a batch and a full queue hold 10,000; its checks stay.

--- a/gypsumwind/log.py
+++ b/gypsumwind/log.py
@@ -151,8 +151,7 @@
         while True:
             lines = [self._lines.get()]
             time.sleep(BATCH_S)
-            while not self._lines.empty():
-                lines.append(self._lines.get_nowait())
+            lines += [self._lines.get_nowait() for _ in range(self._lines.qsize())]
             try:
                 self._stream.write("\n".join(lines) + "\n" + self._report())
                 self._stream.flush()
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,10 +1,18 @@
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from gypsumwind import feeds
+from gypsumwind.board import Board
+from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.upstreams import Upstream, UpstreamList, upstreams_to_json
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import LAPSE_GRACE_S, Changes, FeedTask
+from gypsumwind.payloads import UPSTREAMS_KEY
+from gypsumwind.records import RecordsActor
+from gypsumwind.utils import pack_json
 
 
 class Script:
@@ -136,3 +144,49 @@
     assert not made.fresh
     made.step()
     assert made.fresh
+
+
+class Vm:
+    """A VM's records, which its feed puts a list into and spreads to another VM."""
+
+    def __init__(self, name, *others):
+        self.board = Board(Member(name, "a1", Endpoint("127.0.0.1", 0, 0, 1), 1, State.ALIVE))
+        gate = SimpleNamespace(tell=lambda message: None)
+        self._records = RecordsActor(self.board, "a1", "a", gate, lambda records: None)
+        self._others = others
+
+    def put(self, values, revision):
+        doc = pack_json(upstreams_to_json(UpstreamList(revision, values)))
+        for vm in (self, *self._others):
+            vm._records._put((Record(UPSTREAMS_KEY, revision, CONFIG_SCOPE, doc),))
+
+    @property
+    def known(self):
+        return set(self.board.upstreams.by_id)
+
+
+def cut_off(clock, *later):
+    """Return two VMs: one that was cut off while "i-2" left, and one that knows of it."""
+    ups = {n: Upstream(n, 1, "s", "127.0.0.1", 1, "a1", 4) for n in ("i-1", "i-2")}
+    left = {"i-1": ups["i-1"]}
+    knows = Vm("knows")
+    cut = Vm("cut", knows)
+    results = [Changes(ups, 1), LOST, GONE, Changes(left, 3), *later]
+    made = FeedTask("t", Script(*results), 0.5, cut.put, random.Random(1))
+    made.step()
+    knows.put(left, 2)
+    for _ in range(3):
+        made.step()
+    return made, cut, knows
+
+
+def test_what_a_vm_keeps_after_it_lost_the_store_is_not_given_back_to_those_who_know_better(clock):
+    assert cut_off(clock)[2].known == {"i-1"}
+
+
+def test_what_a_vm_keeps_after_it_lost_the_store_is_dropped_in_time_though_nothing_changes(clock):
+    made, cut, _ = cut_off(clock, Changes({}, 3))
+    assert cut.known == {"i-1", "i-2"}
+    clock[0] += LAPSE_GRACE_S
+    made.step()
+    assert cut.known == {"i-1"}
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,7 +1,9 @@
 """Logging never blocks and its volume is bounded."""
 
 import os
+import queue
 import threading
+from types import SimpleNamespace
 
 from gypsumwind import log as logs
 from gypsumwind.log import BURST_LINES, QUEUE_LINES, LineBudget, Log, QueueHandler
@@ -32,6 +34,31 @@
         text += part
 
 
+def test_lines_are_written_though_others_come_as_fast(monkeypatch):
+    written = threading.Event()
+
+    class EndlessQueue(queue.Queue):
+        """A queue that is filled as fast as it is emptied, until something was written."""
+
+        def get(self, *_, **__):
+            if written.is_set():
+                threading.Event().wait()
+            return "line"
+
+        def get_nowait(self):
+            return "line"
+
+        def empty(self):
+            return written.is_set()
+
+        def qsize(self):
+            return 10
+
+    monkeypatch.setattr(logs.queue, "Queue", EndlessQueue)
+    QueueHandler(SimpleNamespace(write=lambda _: written.set(), flush=lambda: None), "INFO")
+    assert written.wait(10)
+
+
 def test_blocked_output_blocks_no_caller_and_drops_are_counted(monkeypatch):
     monkeypatch.setattr(logs, "BURST_LINES", 1e9)
     monkeypatch.setattr(logs, "_budgets", {})
@@ -44,7 +71,7 @@
     def speak():
         log = Log("test")
         with handler.threadbound():
-            for n in range(QUEUE_LINES + 3000):
+            for n in range(3 * QUEUE_LINES):
                 log.info("line", number=n, text="x" * 100)
         done.set()
 
