No thread is started once a pool stops

Cause, found in reading the change again: a connection that comes while a pool is stopped could start a thread after the others had been told to end; the library then waits for it without a limit. Change: the pool's limit is zero from the stop on. Test: failed before (one thread).

--- a/gypsumwind/pools.py
+++ b/gypsumwind/pools.py
@@ -12,6 +12,9 @@
 LEAST_THREADS = 4
 """Threads that a server begins with; starting one more takes under a millisecond."""
 
+STOP_S = 5
+"""Time that threads have to end at a stop, as in the library."""
+
 
 class GrowingPool(ThreadPool):
     """A pool that starts a thread when all of its threads are busy, up to a limit.
@@ -45,6 +48,12 @@
                 self._threads.append(worker)
         super().put(obj)
 
+    def stop(self, timeout: int = STOP_S) -> None:
+        """End the threads; none is started from now on, as it would not be told to end."""
+        with self._lock:
+            self.max = 0
+        super().stop(timeout)
+
     def _next(self) -> Any:
         """A thread has finished its connection, if it had one, and waits for the next."""
         if getattr(self._serves, "one", False):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -93,3 +93,10 @@
     for end in ends:
         end.set()
     assert not late and pool.size <= LIMIT
+
+
+def test_no_thread_is_started_once_the_pool_stops(pool):
+    """A thread that is started meanwhile is told nothing, and the stop would wait for it."""
+    pool.stop()
+    pool.put(Conn(lambda: None))
+    assert not pool.size
