A VM's place in its zone is derived once a step

Cause, found in reading the change again: each step of a feed asked for the zone's VMs up to four times and ranked them up to five times, and the ranking stood three times in core/delegates.py. Change: Tiers ranks once and tells delegates, relays and sources; Zone.role() asks it once a step. Behaviour stays; the tests call Tiers where they called two functions, their assertions are the same.

--- a/gypsumwind/core/delegates.py
+++ b/gypsumwind/core/delegates.py
@@ -13,33 +13,42 @@
 
 def delegates(zone: str, vms: Iterable[str]) -> list[str]:
     """Return the delegates among the live VMs of a zone, the first one first."""
-    return sorted(vms, key=lambda vm: rank(zone, vm), reverse=True)[:DELEGATES_PER_ZONE]
+    return _ranked(zone, vms)[:DELEGATES_PER_ZONE]
 
 
-def relays(zone: str, vms: Collection[str]) -> list[str]:
-    """Return the VMs of a large zone that stand between its delegates and the rest, by rank.
-
-    None in a zone of up to `FOLLOWERS` VMs that are no delegates. With f followers a VM, two levels
-    carry some f * f VMs.
-    """
-    others = max(0, len(vms) - DELEGATES_PER_ZONE)
-    count = math.ceil(others / FOLLOWERS) if others > FOLLOWERS else 0
-    ranked = sorted(vms, key=lambda vm: rank(zone, vm), reverse=True)
-    return ranked[DELEGATES_PER_ZONE : DELEGATES_PER_ZONE + count]
+def _ranked(zone: str, vms: Iterable[str]) -> list[str]:
+    return sorted(vms, key=lambda vm: rank(zone, vm), reverse=True)
 
 
-def sources(vm: str, zone: str, vms: Collection[str]) -> list[str]:
-    """Return the VMs of a zone that one of them follows, the first choice first.
+class Tiers:
+    """Who follows whom among the VMs of a zone.
 
-    None for the first delegate, which follows the platform, nor in a zone of delegates alone. The
-    second delegate and the relays follow the delegates, each of the rest the relay that is its
-    highest by rendezvous: when a relay comes or goes, only its own followers move.
+    The first delegate follows the platform, the second one the first. In a zone of more than
+    `FOLLOWERS` others `relays`, the next by rank, stand between the delegates and the rest. With f
+    followers a VM, these two levels carry some f * f VMs.
     """
-    if len(vms) <= DELEGATES_PER_ZONE:
-        return []
-    named, between = delegates(zone, vms), relays(zone, vms)
-    if vm in named:
-        return named[: named.index(vm)]
-    if vm in between or not between:
-        return named
-    return [max(between, key=lambda relay: rank(relay, vm)), *named]
+
+    __slots__ = ("delegates", "relays", "followed")
+
+    def __init__(self, zone: str, vms: Collection[str]) -> None:
+        ranked = _ranked(zone, vms)
+        others = ranked[DELEGATES_PER_ZONE:]
+        count = math.ceil(len(others) / FOLLOWERS) if len(others) > FOLLOWERS else 0
+        self.delegates = ranked[:DELEGATES_PER_ZONE]
+        self.relays = others[:count]
+        self.followed = bool(others)
+        """Whether any VM follows the delegates: in a zone of delegates alone none does."""
+
+    def sources(self, vm: str) -> list[str]:
+        """Return the VMs that one of the zone follows, the first choice first.
+
+        None for one that follows the platform. A VM's relay is its highest by rendezvous: when a
+        relay comes or goes, only its own followers move.
+        """
+        if not self.followed:
+            return []
+        if vm in self.delegates:
+            return self.delegates[: self.delegates.index(vm)]
+        if vm in self.relays or not self.relays:
+            return self.delegates
+        return [max(self.relays, key=lambda relay: rank(relay, vm)), *self.delegates]
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -7,11 +7,11 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from gypsumwind.board import Board
-from gypsumwind.core.delegates import DELEGATES_PER_ZONE, relays, sources
+from gypsumwind.core.delegates import Tiers
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import LAPSE_GRACE_S, WAIT_S, Changes, Feed
@@ -34,6 +34,20 @@
 a relay hands on stays under 1.75 s of `RELAY_AGE_S`."""
 
 
+@dataclass(slots=True, frozen=True)
+class Role:
+    """What a VM is in its zone: the VMs that it is to follow, the first choice first.
+
+    `relay`: it stands between the delegates and the rest; `large`: there are such VMs; `followed`:
+    the delegates have followers.
+    """
+
+    sources: Mapping[str, Endpoint]
+    relay: bool
+    large: bool
+    followed: bool
+
+
 class Zone:
     """The VMs of this VM's zone, and where they are reached."""
 
@@ -42,30 +56,19 @@
         self._zone = zone
         self._board = board
 
-    def present(self) -> Mapping[str, Endpoint]:
-        """Return the VMs that new work may be sent to, this one included unless it leaves."""
-        members = self._board.members
-        found = {member.vm: member.endpoint for member in members.live(self._zone)}
-        if not self._board.leaving:
-            found[self.vm] = members.me.endpoint
-        return found
-
-    def sources(self) -> Mapping[str, Endpoint]:
-        """Return the VMs that this one is to follow, the first choice first.
+    def role(self) -> Role:
+        """Return what this VM is among the VMs that new work may be sent to.
 
         The second delegate follows the first, and takes its place when that fails: until then it
-        does not hear from the store itself, and nobody follows it.
+        does not hear from the store itself, and nobody follows it. A VM that leaves is not counted.
         """
-        present = self.present()
-        return {vm: present[vm] for vm in sources(self.vm, self._zone, present)}
-
-    def followed(self) -> bool:
-        """Tell whether the zone has VMs that follow its delegates."""
-        return len(self.present()) > DELEGATES_PER_ZONE
-
-    def relays(self) -> list[str]:
-        """Return the VMs that stand between the delegates and the rest."""
-        return relays(self._zone, self.present())
+        members = self._board.members
+        present = {member.vm: member.endpoint for member in members.live(self._zone)}
+        if not self._board.leaving:
+            present[self.vm] = members.me.endpoint
+        tiers = Tiers(self._zone, present)
+        sources = {vm: present[vm] for vm in tiers.sources(self.vm)}
+        return Role(sources, self.vm in tiers.relays, bool(tiers.relays), tiers.followed)
 
 
 Follow = Callable[[Endpoint, str, int, int, float], News]
@@ -102,30 +105,30 @@
         return self._next(wait_s, after)
 
     def _next(self, wait_s: float, after: int) -> Changes:
-        for vm, endpoint in self._sources():
-            news = self._ask(vm, endpoint, min(wait_s, RELAY_WAIT_S))
+        role = self._zone.role()
+        for vm, endpoint in self._sound(role):
+            news = self._ask(vm, endpoint, min(wait_s, RELAY_WAIT_S), role.relay)
             if news is not None:
                 self._hub.keep(self._name, news.grace_s)
                 return self._changes(news.values, news.revision, news.whole, [], news.grace_s)
-        return self._from_store(wait_s, after)
+        return self._from_store(min(wait_s, self._store_wait_s(role)), after)
 
-    def _sources(self) -> list[tuple[str, Endpoint]]:
+    def _sound(self, role: Role) -> list[tuple[str, Endpoint]]:
         """Return the VMs that may be followed now.
 
         The one in use comes first, but in a large zone the first choice does: VMs that went to a
         delegate for want of their relay would stay there otherwise.
         """
         now = monotonic()
-        sound = [s for s in self._zone.sources().items() if now >= self._skipped.get(s[0], now)]
-        if self._zone.relays():
+        sound = [s for s in role.sources.items() if now >= self._skipped.get(s[0], now)]
+        if role.large:
             return sound
         return sorted(sound, key=lambda source: source[0] != self._source)
 
-    def _ask(self, vm: str, endpoint: Endpoint, wait_s: float) -> News | None:
+    def _ask(self, vm: str, endpoint: Endpoint, wait_s: float, relay: bool) -> News | None:
         """Ask another VM; None if it does not answer, or the store was not heard there lately."""
         name, position = self._cursor if vm == self._source else (0, 0)
-        between = self._zone.vm in self._zone.relays()
-        if between and self._often:
+        if relay and self._often:
             wait_s = min(wait_s, RELAY_STEP_S)
         asked_at = monotonic()
         try:
@@ -144,7 +147,7 @@
             return None
         self._use(vm)
         self._cursor = (news.log, news.position)
-        if between:
+        if relay:
             late_s = max(0.0, monotonic() - asked_at - wait_s)
             self._hub.heard(self._name, news.age_s + late_s)
         return news
@@ -157,7 +160,7 @@
                 found = self._own.read()
                 self._use(self._zone.vm)
             else:
-                found = self._own.changes(after, min(wait_s, self._store_wait_s()))
+                found = self._own.changes(after, wait_s)
         except StoreError as exc:
             self._lost |= exc.code is not Code.STORE_HISTORY_GONE
             raise
@@ -168,11 +171,11 @@
         self._hub.heard(self._name)
         return changes
 
-    def _store_wait_s(self) -> float:
+    def _store_wait_s(self, role: Role) -> float:
         """Return the longest wait of a call to the store, by who relies on hearing from it."""
-        if not self._often or not self._zone.followed():
+        if not self._often or not role.followed:
             return WAIT_S
-        return LARGE_ZONE_WAIT_S if self._zone.relays() else RELAY_WAIT_S
+        return LARGE_ZONE_WAIT_S if role.large else RELAY_WAIT_S
 
     def _changes(
         self,
--- a/tests/core/test_delegates.py
+++ b/tests/core/test_delegates.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gypsumwind.core.delegates import FOLLOWERS, delegates, relays, sources
+from gypsumwind.core.delegates import FOLLOWERS, Tiers, delegates
 
 SIZES = [1, 2, 3, 9, 18, 19, 30, 50, 100, 190]
 
@@ -12,7 +12,7 @@
 
 
 def first_choices(vms):
-    return {vm: next(iter(sources(vm, "a1", vms)), None) for vm in vms}
+    return {vm: next(iter(Tiers("a1", vms).sources(vm)), None) for vm in vms}
 
 
 def followers(vms):
@@ -41,19 +41,19 @@
 def test_zone_of_few_vms_has_no_relays(size):
     vms = zone(size)
     named = delegates("a1", vms)
-    assert not relays("a1", vms)
+    assert not Tiers("a1", vms).relays
     for vm in vms:
         others = named[: named.index(vm)] if vm in named else named
-        assert sources(vm, "a1", vms) == (others if size > 2 else [])
+        assert Tiers("a1", vms).sources(vm) == (others if size > 2 else [])
 
 
 def test_loss_of_a_relay_moves_only_its_followers():
     vms = zone(100)
-    gone = relays("a1", vms)[1]
+    gone = Tiers("a1", vms).relays[1]
     before = first_choices(vms)
     left = [vm for vm in vms if vm != gone]
     after = first_choices(left)
-    new = set(relays("a1", left)) - set(relays("a1", vms))
+    new = set(Tiers("a1", left).relays) - set(Tiers("a1", vms).relays)
     moved = {vm for vm in left if after[vm] != before[vm]}
     assert all(before[vm] == gone or after[vm] in new or vm in new for vm in moved)
 
@@ -62,4 +62,4 @@
     vms = zone(30)
     first = delegates("a1", vms)[0]
     left = [vm for vm in vms if vm != first]
-    assert sources(first, "a1", left) and first not in first_choices(left).values()
+    assert Tiers("a1", left).sources(first) and first not in first_choices(left).values()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -13,8 +13,7 @@
 from gypsumwind import feeds, followers, relays
 from gypsumwind.board import Board, MembersView
 from gypsumwind.core import delegates as core_delegates
-from gypsumwind.core.delegates import FOLLOWERS, delegates
-from gypsumwind.core.delegates import relays as relays_of
+from gypsumwind.core.delegates import FOLLOWERS, Tiers, delegates
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
@@ -122,7 +121,7 @@
         self.unreachable = set()
         self.asked = Counter()
         self.delegates = delegates("a1", names)
-        self.relays = relays_of("a1", names)
+        self.relays = Tiers("a1", names).relays
         self.vms = {vm: Vm(self, vm) for vm in names}
         self.rest = [vm for vm in names if vm not in {*self.delegates, *self.relays}]
         self.follower = self.rest[0]
