--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -1,6 +1,5 @@
 """The direct way by real processes: callers, daemons, instances and the platform's store."""
 
-import copy
 import fcntl
 import os
 import signal
@@ -73,8 +72,7 @@
 
 @pytest.mark.parametrize("mode", ["cut", "short", "unsigned", "fail"])
 def test_idempotent_request_is_served_by_another_instance_after_a_fault(fleet, mode):
-    for up in fleet.instances.values():
-        up.mode = mode
+    fleet.set_instances(mode=mode)
     vm = first(fleet)
     failed = fleet.send(vm, request="r-0")
     assert (failed.status, SIGNATURE in failed.headers) == (
@@ -89,16 +87,14 @@
 
 @pytest.mark.parametrize("mode", ["cut", "short", "unsigned"])
 def test_non_idempotent_request_runs_once_and_is_never_said_not_to_have_run(fleet, mode):
-    for up in fleet.instances.values():
-        up.mode = mode
+    fleet.set_instances(mode=mode)
     answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
     assert answer.status == 502
     assert len(ran(fleet, "r-1")) == 1
 
 
 def test_instances_own_failure_of_a_request_that_may_not_repeat_is_passed_on(fleet):
-    for up in fleet.instances.values():
-        up.mode = "fail"
+    fleet.set_instances(mode="fail")
     answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
     assert answer.status == 500 and answer.headers[SIGNATURE] == "signed.r-1"
     assert len(ran(fleet, "r-1")) == 1
@@ -114,8 +110,7 @@
 
 
 def test_all_shed_is_a_refusal_with_a_time_to_come_back(fleet):
-    for up in fleet.instances.values():
-        up.mode = "shed"
+    fleet.set_instances(mode="shed")
     answer = fleet.send(first(fleet), "/book/x", "POST", body=b"1")
     assert answer.status == 503 and float(answer.headers["Retry-After"]) > 0
     assert not ran(fleet, "r-1")
@@ -123,8 +118,7 @@
 
 def test_second_answer_on_a_connection_reaches_nobody(fleet):
     vm = first(fleet)
-    for up in fleet.instances.values():
-        up.mode = "extra"
+    fleet.set_instances(mode="extra")
     for n in range(8):
         answer = fleet.send(vm, request=f"r-{n}")
         assert answer.status == 200 and answer.headers[SIGNATURE] == f"signed.r-{n}"
@@ -142,8 +136,7 @@
 
 def test_caller_that_leaves_ends_the_work(fleet):
     vm = first(fleet)
-    for up in fleet.instances.values():
-        up.work_s = 5.0
+    fleet.set_instances(work_s=5.0)
     with socket.create_connection((vm.ip, platform.FRONT)) as sock:
         sock.sendall(
             b"GET /read/x HTTP/1.1\r\nHost: api.example\r\n"
@@ -196,8 +189,7 @@
 
 
 def test_requests_sent_ahead_run_at_the_same_time(fleet):
-    for up in fleet.instances.values():
-        up.work_s = 2.0
+    fleet.set_instances(work_s=2.0)
     asked = [(f"r-{n}", f"GET /read/{n}") for n in range(4)]
     with ask_ahead(first(fleet), asked) as sock:
         until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 4, timeout=1.8)
@@ -207,8 +199,7 @@
 
 
 def test_request_that_may_not_repeat_waits_for_its_turn(fleet):
-    for up in fleet.instances.values():
-        up.work_s = 1.0
+    fleet.set_instances(work_s=1.0)
     with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "POST /book/1")]) as sock:
         until(lambda: ran(fleet, "r-0"))
         time.sleep(0.5)
@@ -218,16 +209,14 @@
 
 
 def test_caller_that_leaves_ends_also_what_it_sent_ahead(fleet):
-    for up in fleet.instances.values():
-        up.work_s = 5.0
+    fleet.set_instances(work_s=5.0)
     with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "GET /read/1")]):
         until(lambda: ran(fleet, "r-0") and ran(fleet, "r-1"))
     until(lambda: sum(len(up.broken_off) for up in fleet.instances.values()) == 2)
 
 
 def test_malformed_request_sent_ahead_is_answered_in_its_turn(fleet):
-    for up in fleet.instances.values():
-        up.work_s = 1.0
+    fleet.set_instances(work_s=1.0)
     with ask_ahead(first(fleet), [("r-0", "GET /read/0"), ("r-1", "GET nowhere")]) as sock:
         data = read_until(sock, lambda d: b" 400 " in d)
     assert data.index(b"signed.r-0") < data.index(b" 400 ")
@@ -256,8 +245,7 @@
     with ThreadPoolExecutor(40) as pool:
         late = [pool.submit(ask_late, vm, f"r-{n}", stopped, offset) for n in range(40)]
         until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 40)
-        for up in fleet.instances.values():
-            up.work_s = 0.3
+        fleet.set_instances(work_s=0.3)
         vm.process.send_signal(signal.SIGTERM)
         stopped.set()
         answers = [fut.result() for fut in late]
@@ -268,8 +256,7 @@
 
 def test_planned_stop_answers_what_was_begun_ahead(fleet):
     vm = first(fleet)
-    for up in fleet.instances.values():
-        up.work_s = 1.5
+    fleet.set_instances(work_s=1.5)
     with ask_ahead(vm, [("r-0", "GET /read/0"), ("r-1", "GET /read/1")]) as sock:
         until(lambda: ran(fleet, "r-0") and ran(fleet, "r-1"))
         assert vm.stop() == 0
@@ -280,8 +267,7 @@
 def test_planned_stop_begins_nothing_behind_a_request_that_may_outlast_it(fleet):
     vm = first(fleet)
     set_timeout(fleet, 20)
-    for up in fleet.instances.values():
-        up.work_s = 8.0
+    fleet.set_instances(work_s=8.0)
     with ask_ahead(vm, [("r-0", "GET /read/0")]) as sock:
         sock.sendall(ahead_request("r-1", "GET /read/1"))
         until(lambda: ran(fleet, "r-1"), text="read ahead before the stop")
@@ -295,12 +281,10 @@
 def test_request_that_outlasts_a_planned_stop_is_given_up_and_what_is_behind_it_answered(fleet):
     vm = first(fleet)
     set_timeout(fleet, 20)
-    for up in fleet.instances.values():
-        up.work_s = 8.0
+    fleet.set_instances(work_s=8.0)
     with ask_ahead(vm, [("r-0", "GET /read/0")]) as sock:
         until(lambda: ran(fleet, "r-0"))
-        for up in fleet.instances.values():
-            up.work_s = 0.1
+        fleet.set_instances(work_s=0.1)
         sock.sendall(ahead_request("r-1", "GET /read/1"))
         until(lambda: ran(fleet, "r-1"))
         assert vm.stop() == 0
@@ -311,25 +295,19 @@
 
 def set_timeout(fleet, seconds):
     """Put a configuration in force that gives all routes this time-out."""
-    doc = copy.deepcopy(platform.CONFIG)
-    doc["version"] = "0000000d"
-    for rule in doc["listeners"][0]["routingRules"]:
-        rule["action"]["timeoutS"] = seconds
-    fleet.store.put("config", "main", doc)
+    fleet.store.put("config", "main", platform.config(13, seconds))
     until(lambda: "version=13" in fleet.logs(), text="the version is in force")
 
 
 def test_route_times_out_with_an_answer(fleet):
     set_timeout(fleet, 0.5)
-    for up in fleet.instances.values():
-        up.work_s = 3.0
+    fleet.set_instances(work_s=3.0)
     assert fleet.send(first(fleet)).status == 504
 
 
 def test_changed_configuration_is_in_force_and_an_older_one_is_not_taken(fleet):
     vm = first(fleet)
-    doc = copy.deepcopy(platform.CONFIG)
-    doc["version"] = "0000000f"
+    doc = platform.config(15)
     doc["listeners"][0]["routingRules"][0]["match"]["pathPrefix"] = "/new/"
     fleet.store.put("config", "main", doc)
     until(lambda: fleet.send(vm, "/new/x").status == 200, text="the new route is served")
@@ -354,8 +332,7 @@
 
 def test_planned_stop_finishes_what_runs(fleet):
     vm = first(fleet)
-    for up in fleet.instances.values():
-        up.work_s = 1.0
+    fleet.set_instances(work_s=1.0)
     with socket.create_connection((vm.ip, platform.FRONT)) as sock:
         sock.settimeout(10)
         sock.sendall(
@@ -383,8 +360,7 @@
 
 def test_hangup_signal_reads_the_settings_and_cuts_nothing(fleet):
     vm = first(fleet)
-    for up in fleet.instances.values():
-        up.work_s = 0.5
+    fleet.set_instances(work_s=0.5)
     vm.path.write_text(vm.path.read_text().replace("coldSlack=5", "coldSlack=7"))
     vm.process.send_signal(signal.SIGHUP)
     assert fleet.send(vm).status == 200
@@ -430,9 +406,8 @@
 
 def limit_callers(fleet, **limits):
     """Change the limits of the configuration and wait until a caller notices the shortest."""
-    config = copy.deepcopy(platform.CONFIG)
+    config = platform.config(13)
     config["limits"].update(limits)
-    config["version"] = "0000000d"
     fleet.store.put("config", "main", config)
     until(lambda: "rules-in-force version=13" in fleet.logs(), text="the limits are in force")
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,5 @@
 """Faults of a soak: each begins, lasts for a while and ends; several may overlap."""
 
-import copy
 import signal
 import time
 
@@ -147,12 +146,8 @@
     def _configuration_changes(self):
         self.version += 1
         self.service = self._rng.choice(["lookup", "files"])
-        config = copy.deepcopy(platform.CONFIG)
-        config["version"] = f"{self.version:08x}"
-        rules = config["listeners"][0]["routingRules"]
-        rules[0]["action"]["service"] = self.service
-        for rule in rules:
-            rule["action"]["timeoutS"] = TIMEOUT_S
+        config = platform.config(self.version, TIMEOUT_S)
+        config["listeners"][0]["routingRules"][0]["action"]["service"] = self.service
         self.site.store.put("config", "main", config)
         return f"{self.version} {self.service}", None
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -3,6 +3,7 @@
 Spoken is only what the platform's pages say; faults are switched on by a test.
 """
 
+import copy
 import json
 import threading
 import time
@@ -80,6 +81,16 @@
 }
 
 
+def config(version, timeout_s=None):
+    """Return the configuration as another version, with one time-out for all its rules if given."""
+    doc = copy.deepcopy(CONFIG)
+    doc["version"] = f"{version:08x}"
+    if timeout_s is not None:
+        for each in doc["listeners"][0]["routingRules"]:
+            each["action"]["timeoutS"] = timeout_s
+    return doc
+
+
 def server_entry(address, service="lookup", zone="a1", state="ready", cold_s=0, born=1, slots=4):
     return {
         "spec": {
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -197,6 +197,12 @@
         """Return what all daemons have logged."""
         return "".join(vm.log_path.read_text() for vm in self.vms.values())
 
+    def set_instances(self, **values):
+        """Set the same values at all instances, such as the time that their work takes."""
+        for up in self.instances.values():
+            for name, value in values.items():
+                setattr(up, name, value)
+
     def send(self, vm, path="/read/x", method="GET", host="api.example", request="r-1", **values):
         """Send one request and return the answer; a fresh connection each."""
         headers = {
