What a VM keeps of lapsed entries stays its own

Cause: a VM that found the store again put what it kept for two seconds into the record of the list, under the list's newer revision; VMs that knew better took it over, and as the list without it had the same revision, the record stayed until the next change. Change: records and feeds carry the list as the store told it and the time until which entries may be missing; core/lapses.py keeps them on each VM.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.lapses import GracedList
 from gypsumwind.core.placement import Place, Site, homes, site_weights
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
@@ -312,6 +313,7 @@
         self.cold = cold
         self.policies: Mapping[str, ServicePolicy] = {}
         self.closed_zones: frozenset[str] = frozenset()
+        self._listed = GracedList()
         self._lanes: dict[str, Lane] = {}
         self._gone: dict[str, tuple[Lane, float]] = {}
         self._services: dict[str, _ServiceState] = {}
@@ -338,10 +340,19 @@
             lane.region = regions.get(lane.upstream.zone, "")
         self._replan()
 
-    def set_upstreams(self, found: Iterable[Upstream], now: float, epoch: float) -> None:
-        """Take in the list of instances; `epoch` is the same moment by the time of day."""
+    def set_upstreams(
+        self, found: Iterable[Upstream], now: float, epoch: float, grace_until: float = -math.inf
+    ) -> None:
+        """Take in the list of instances; `epoch` is the same moment by the time of day.
+
+        Until `grace_until` entries may be missing that lapsed while the store was away.
+        """
+        self._listed.take({up.id: up for up in found}, grace_until, now)
+        self._set_lanes(now, epoch)
+
+    def _set_lanes(self, now: float, epoch: float) -> None:
         lanes = {}
-        for up in found:
+        for up in self._listed.values.values():
             lane = self._known(up.id)
             if lane is None or lane.upstream.incarnation != up.incarnation:
                 lane = Lane(up)
@@ -418,6 +429,8 @@
 
     def drain(self, now: float) -> list[tuple[int, Decision]]:
         """Place those that wait and find room now; refuse those that are too late."""
+        if self._listed.expire(now):
+            self._set_lanes(now, math.inf)
         decisions: list[tuple[int, Decision]] = []
         for state in self._services.values():
             if state.waiting:
--- a/gypsumwind/core/upstreams.py
+++ b/gypsumwind/core/upstreams.py
@@ -4,6 +4,8 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from gypsumwind.core.lapses import LAPSE_GRACE_S
+
 
 @dataclass(slots=True, frozen=True)
 class Upstream:
@@ -26,14 +28,26 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamList:
-    """All instances by id, as of a revision of the store."""
+    """All instances by id, as of a revision of the store.
+
+    Until `grace_until`, in epoch seconds, entries may be missing that lapsed while the store was
+    away.
+    """
 
     revision: int = 0
     by_id: Mapping[str, Upstream] | None = None
+    grace_until: float = 0.0
 
     def __iter__(self) -> Iterator[Upstream]:
         return iter((self.by_id or {}).values())
 
+    def grace_s(self, epoch: float) -> float:
+        """Return the time for which entries may be missing, at most LAPSE_GRACE_S: clocks differ.
+
+        `epoch` is the time of day in epoch seconds.
+        """
+        return min(LAPSE_GRACE_S, max(0.0, self.grace_until - epoch))
+
 
 def upstream_from_json(doc: Mapping[str, Any]) -> Upstream:
     """Read the document of one instance; ValueError if it is not one."""
@@ -45,13 +59,18 @@
 
 def upstreams_to_json(found: UpstreamList) -> dict[str, Any]:
     """Return a list of instances as the document that VMs give each other."""
-    return {"revision": found.revision, "upstreams": [asdict(up) for up in found]}
+    return {
+        "revision": found.revision,
+        "upstreams": [asdict(up) for up in found],
+        "grace_until": found.grace_until,
+    }
 
 
 def upstreams_from_json(doc: Mapping[str, Any]) -> UpstreamList:
     """Read such a document; ValueError if it is not one."""
     try:
         found = [upstream_from_json(item) for item in doc["upstreams"]]
-        return UpstreamList(int(doc["revision"]), {up.id: up for up in found})
+        grace_until = float(doc.get("grace_until", 0.0))
+        return UpstreamList(int(doc["revision"]), {up.id: up for up in found}, grace_until)
     except (KeyError, TypeError) as exc:
         raise ValueError(f"list of upstreams: {exc!r}") from exc
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from contextlib import ExitStack
 from dataclasses import asdict
 from typing import Any
@@ -23,7 +23,7 @@
 from gypsumwind.daemon import TickTask
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.exchanges import Exchanger
-from gypsumwind.feeds import Feed, FeedTask
+from gypsumwind.feeds import Feed, FeedTask, Publish
 from gypsumwind.followers import RelayedFeed, Zone
 from gypsumwind.forwarders import Forwarder
 from gypsumwind.fronts import FrontPages
@@ -222,40 +222,30 @@
         return {
             RULES_KEY: self._feed_task("rules", feeds.rules, QUIET_PACE_S, self._put_rules),
             UPSTREAMS_KEY: self._feed_task(
-                "upstreams",
-                feeds.upstreams,
-                UPSTREAMS_PACE_S,
-                self._put_upstreams,
-                lambda: (self.board.upstreams.by_id or {}, self.board.upstreams.revision),
+                "upstreams", feeds.upstreams, UPSTREAMS_PACE_S, self._put_upstreams
             ),
             CLOSED_ZONES_KEY: self._feed_task(
                 "closed-zones", feeds.closed_zones, QUIET_PACE_S, self._put_closed
             ),
         }
 
-    def _feed_task(
-        self,
-        name: str,
-        own: Feed,
-        pace_s: float,
-        put: Callable[[Mapping[str, Any], int], None],
-        known: Callable[[], tuple[Mapping[str, Any], int]] = lambda: ({}, 0),
-    ) -> FeedTask:
+    def _feed_task(self, name: str, own: Feed, pace_s: float, put: Publish) -> FeedTask:
         """Return the task of a feed that is followed at a delegate, or by one at the store."""
         cfg = self._cfg
         zone = Zone(cfg.vm, cfg.zone, self.board)
         follow = Peers(cfg.ip, FOLLOW_TIMEOUT_S).follow
         feed = RelayedFeed(name, own, zone, self._hub, follow)
-        return FeedTask(name, feed, pace_s, put, self._rng, known)
+        return FeedTask(name, feed, pace_s, put, self._rng)
 
-    def _put_rules(self, values: Mapping[str, Ruleset], revision: int) -> None:
+    def _put_rules(self, values: Mapping[str, Ruleset], revision: int, grace_s: float) -> None:
         for rules in values.values():
             self._put(RULES_KEY, rules.version, ruleset_to_json(rules))
 
-    def _put_upstreams(self, values: Mapping[str, Any], revision: int) -> None:
-        self._put(UPSTREAMS_KEY, revision, upstreams_to_json(UpstreamList(revision, values)))
+    def _put_upstreams(self, values: Mapping[str, Any], revision: int, grace_s: float) -> None:
+        found = UpstreamList(revision, values, wall() + grace_s if grace_s > 0 else 0.0)
+        self._put(UPSTREAMS_KEY, revision, upstreams_to_json(found))
 
-    def _put_closed(self, values: Mapping[str, Any], revision: int) -> None:
+    def _put_closed(self, values: Mapping[str, Any], revision: int, grace_s: float) -> None:
         self._put(CLOSED_ZONES_KEY, revision, sorted(values))
 
     def _put(self, key: str, version: int, doc: Any) -> None:
@@ -270,7 +260,9 @@
     def ready(self) -> bool:
         """Tell whether this VM takes callers: it knows where to send, and does not leave."""
         board = self.board
-        return board.rules is not None and bool(board.upstreams.by_id) and not board.leaving
+        ups = board.upstreams
+        known = bool(ups.by_id) or (board.steerable.is_set() and ups.grace_s(wall()) > 0)
+        return board.rules is not None and known and not board.leaving
 
     def look_up(self, host: str, region: str, zone: str) -> list[Entry]:
         """Return the entry VMs for callers of a host in a zone."""
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -113,7 +113,9 @@
         board = self._board
         if board.rules is not None:
             self._dispatcher.policies = board.rules.services
-        self._dispatcher.set_upstreams(board.upstreams, now, wall())
+        epoch = wall()
+        grace_until = now + board.upstreams.grace_s(epoch)
+        self._dispatcher.set_upstreams(board.upstreams, now, epoch, grace_until)
         self._dispatcher.set_closed_zones(board.closed_zones, now)
         self._drain(now)
 
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -3,9 +3,10 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from gypsumwind.core.lapses import LAPSE_GRACE_S
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.log import Log
 from gypsumwind.tasks import Task
@@ -20,9 +21,6 @@
 MAX_RETRY_S = 2.0
 """First and longest pause after a call that failed; doubled between them."""
 
-LAPSE_GRACE_S = 2.0
-"""After the store is back, entries that lapsed meanwhile get so long to return."""
-
 FRESH_S = 2.0
 """Time after the last answer for which a feed counts as up to date: while nothing changes nobody
 knows more, and after a change the next answer is due well within it."""
@@ -56,13 +54,14 @@
         ...
 
 
+Publish = Callable[[Mapping[str, Any], int, float], None]
+"""Takes a whole list, its revision, and the time for which entries may be missing from it."""
+
+
 class FeedTask(Task):
-    """Follows a feed and hands on the whole list after each change.
+    """Follows a feed and hands on the whole list after each change, as the store told it.
 
-    What peers told meanwhile is `known`, with its revision: a list that is newer than the last one
-    read here takes its place, so that nothing older comes back. `pace_s` is the least time between
-    two calls, so that frequent changes come in batches. An entry that is missing from a list read
-    after a failure is kept for `LAPSE_GRACE_S`.
+    `pace_s` is the least time between two calls, so that frequent changes come in batches.
     """
 
     def __init__(
@@ -70,20 +69,16 @@
         name: str,
         feed: Feed,
         pace_s: float,
-        publish: Callable[[Mapping[str, Any], int], None],
+        publish: Publish,
         rng: random.Random,
-        known: Callable[[], tuple[Mapping[str, Any], int]] = lambda: ({}, 0),
     ) -> None:
         super().__init__(f"feed-{name}", pace_s)
         self._feed = feed
         self._pace_s = pace_s
         self._publish = publish
         self._rng = rng
-        self._known = known
         self._values: dict[str, Any] = {}
-        self._missing: dict[str, float] = {}
         self._revision: int | None = None
-        self._newest = 0
         self._retry_s = 0.0
         self._lost = False
         self._grace_until = 0.0
@@ -103,51 +98,26 @@
         """Read the list, or wait for what changes in it."""
         try:
             if self._revision is None:
-                self._read()
+                self._take(self._feed.read(), whole=True)
             else:
-                wait_s = 0.5 if self._missing else WAIT_S
-                self._take(self._feed.changes(self._revision, wait_s))
+                self._take(self._feed.changes(self._revision, WAIT_S), whole=False)
         except StoreError as exc:
             self._failed(exc)
             return
         self._retry_s = 0.0
         self._heard_at = monotonic()
 
-    def _read(self) -> None:
-        found = self._feed.read()
-        known, revision = self._known()
-        if revision > self._newest:
-            self._values = dict(known)
-        gone = {name: None for name in self._values if name not in found.values}
-        self._take(replace(found, values={**gone, **found.values}))
-
-    def _take(self, found: Changes) -> None:
+    def _take(self, found: Changes, whole: bool) -> None:
         self._regained()
         self._grace_until = max(self._grace_until, monotonic() + found.grace_s)
         self._log_faults(found)
-        changed = self._revision is None
-        self._revision = self._newest = found.revision
-        for name, value in found.values.items():
-            changed |= self._set(name, value)
-        for name, until in list(self._missing.items()):
-            if monotonic() >= until:
-                del self._missing[name]
-                changed |= self._values.pop(name, None) is not None
+        merged = found.values if whole else {**self._values, **found.values}
+        values = {name: value for name, value in merged.items() if value is not None}
+        changed = whole or values != self._values
+        self._revision, self._values = found.revision, values
         if changed:
-            self._publish(dict(self._values), found.revision)
-
-    def _set(self, name: str, value: Any) -> bool:
-        """Keep or drop a value; tell whether the list is another one now."""
-        if value is None and name in self._values and monotonic() < self._grace_until:
-            self._missing.setdefault(name, self._grace_until)
-            return False
-        self._missing.pop(name, None)
-        before = self._values.get(name)
-        if value is None:
-            self._values.pop(name, None)
-        else:
-            self._values[name] = value
-        return before != value
+            grace_s = max(0.0, self._grace_until - monotonic())
+            self._publish(dict(values), found.revision, grace_s)
 
     def _regained(self) -> None:
         if self._lost:
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -12,9 +12,10 @@
 
 from gypsumwind.board import Board
 from gypsumwind.core.delegates import Tiers
+from gypsumwind.core.lapses import LAPSE_GRACE_S
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
-from gypsumwind.feeds import LAPSE_GRACE_S, WAIT_S, Changes, Feed
+from gypsumwind.feeds import WAIT_S, Changes, Feed
 from gypsumwind.log import Log
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import RELAY_AGE_S, RELAY_WAIT_S, News, RelayHub
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,17 +1,22 @@
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
-from gypsumwind import feeds
+from gypsumwind import dispatchers, feeds
+from gypsumwind import messages as msg
 from gypsumwind.board import Board
+from gypsumwind.core.lapses import LAPSE_GRACE_S
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.upstreams import Upstream, UpstreamList, upstreams_to_json
+from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.errors import Code, StoreError
-from gypsumwind.feeds import LAPSE_GRACE_S, Changes, FeedTask
+from gypsumwind.feeds import Changes, FeedTask
 from gypsumwind.payloads import UPSTREAMS_KEY
 from gypsumwind.records import RecordsActor
+from gypsumwind.steering import SteeringSettings
 from gypsumwind.utils import pack_json
 
 
@@ -39,13 +44,15 @@
 @pytest.fixture
 def clock(monkeypatch):
     now = [100.0]
-    monkeypatch.setattr(feeds, "monotonic", lambda: now[0])
+    for name in ("monotonic", "wall"):
+        for module in (feeds, dispatchers):
+            monkeypatch.setattr(module, name, lambda: now[0], raising=False)
     return now
 
 
 def task(feed):
     published = []
-    made = FeedTask("t", feed, 0.5, lambda v, r: published.append((v, r)), random.Random(1))
+    made = FeedTask("t", feed, 0.5, lambda v, r, grace: published.append((v, r)), random.Random(1))
     return made, published
 
 
@@ -77,21 +84,20 @@
 
 def test_entries_that_lapsed_while_the_store_was_away_have_time_to_return(clock):
     feed = Script(
-        Changes({"a": 1, "b": 1}, 1),
+        Changes(ups("a", "b"), 1),
         LOST,
         Changes({"a": None, "b": None}, 5),
-        Changes({"a": 1}, 6),
+        Changes(ups("a"), 6),
         Changes({}, 7),
     )
-    made, published = task(feed)
-    made.step()
-    made.step()
-    made.step()
-    made.step()
-    assert published == [({"a": 1, "b": 1}, 1)]
+    vm = Vm("vm")
+    made = FeedTask("t", feed, 0.5, vm.put, random.Random(1))
+    for _ in range(4):
+        made.step()
+        assert vm.known == {"a", "b"}
     clock[0] += LAPSE_GRACE_S
     made.step()
-    assert published[-1] == ({"a": 1}, 7)
+    assert vm.known == {"a"}
 
 
 def test_removal_in_calm_times_counts_at_once(clock):
@@ -113,22 +119,14 @@
 
 def test_what_peers_told_meanwhile_does_not_come_back_after_a_cut(clock):
     """A VM cut off from the store learnt from a peer that b is leaving and a is gone."""
-    peers = [({}, 0)]
-    feed = Script(Changes({"a": "ready", "b": "ready"}, 47), LOST, GONE, Changes({}, 53))
-    published = []
-    made = FeedTask(
-        "t",
-        feed,
-        0.5,
-        lambda v, r: published.append((v, r)),
-        random.Random(1),
-        lambda: peers[0],
-    )
+    vm = Vm("vm")
+    feed = Script(Changes(ups("a", "b"), 47), LOST, GONE, Changes({}, 53))
+    made = FeedTask("t", feed, 0.5, vm.put, random.Random(1))
     made.step()
-    peers[0] = ({"b": "leaving"}, 51)
+    vm.put({"b": replace(ups("b")["b"], draining=True)}, 51, 0.0)
     for _ in range(3):
         made.step()
-    assert published[-1] == ({"b": "leaving"}, 53)
+    assert vm.known == {"b"} and vm.lanes["b"].leaving
 
 
 def test_feed_is_fresh_for_a_while_after_an_answer_and_not_while_the_store_is_away(clock):
@@ -146,35 +144,48 @@
     assert made.fresh
 
 
+def ups(*names):
+    return {n: Upstream(n, 1, "s", "127.0.0.1", 1, "a1", 4) for n in names}
+
+
 class Vm:
-    """A VM's records, which its feed puts a list into and spreads to another VM."""
+    """A VM's records and dispatcher; its feed puts a list in, and spreads it to other VMs."""
 
     def __init__(self, name, *others):
         self.board = Board(Member(name, "a1", Endpoint("127.0.0.1", 0, 0, 1), 1, State.ALIVE))
-        gate = SimpleNamespace(tell=lambda message: None)
+        gate = SimpleNamespace(tell=lambda message: self._dispatch.on_receive(message))
         self._records = RecordsActor(self.board, "a1", "a", gate, lambda records: None)
+        steering = SteeringSettings({"a1": "a"}, 0.2, 60.0, 10.0, 1.5, 5.0, 6.0, 2.0)
+        cfg = SimpleNamespace(vm=name, zone="a1")
+        self._dispatch = DispatchActor(cfg, steering, self.board, random.Random(1))
         self._others = others
 
-    def put(self, values, revision):
-        doc = pack_json(upstreams_to_json(UpstreamList(revision, values)))
+    def put(self, values, revision, grace_s):
+        found = UpstreamList(revision, values, feeds.monotonic() + grace_s)
+        doc = pack_json(upstreams_to_json(found))
         for vm in (self, *self._others):
             vm._records._put((Record(UPSTREAMS_KEY, revision, CONFIG_SCOPE, doc),))
 
+    @property
+    def lanes(self):
+        """What the VM knows of each instance, once its clock has ticked."""
+        self._dispatch.on_receive(msg.Tick())
+        return self._dispatch._dispatcher.lanes
+
     @property
     def known(self):
-        return set(self.board.upstreams.by_id)
+        return set(self.lanes)
 
 
 def cut_off(clock, *later):
     """Return two VMs: one that was cut off while "i-2" left, and one that knows of it."""
-    ups = {n: Upstream(n, 1, "s", "127.0.0.1", 1, "a1", 4) for n in ("i-1", "i-2")}
-    left = {"i-1": ups["i-1"]}
+    left = ups("i-1")
     knows = Vm("knows")
     cut = Vm("cut", knows)
-    results = [Changes(ups, 1), LOST, GONE, Changes(left, 3), *later]
+    results = [Changes(ups("i-1", "i-2"), 1), LOST, GONE, Changes(left, 3), *later]
     made = FeedTask("t", Script(*results), 0.5, cut.put, random.Random(1))
     made.step()
-    knows.put(left, 2)
+    knows.put(left, 2, 0.0)
     for _ in range(3):
         made.step()
     return made, cut, knows
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -14,6 +14,7 @@
 from gypsumwind.board import Board, MembersView
 from gypsumwind.core import delegates as core_delegates
 from gypsumwind.core.delegates import FOLLOWERS, Tiers, delegates
+from gypsumwind.core.lapses import LAPSE_GRACE_S, GracedList
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
@@ -97,7 +98,7 @@
     def __init__(self, fleet, name, boot=1):
         self.own = StoreFeed(fleet.store)
         self.hub = RelayHub(boot, CODECS, frozenset("t"))
-        self.known, self.revisions = {}, []
+        self._list, self.revisions = GracedList(), []
         me = Member(name, "a1", PLACES[name], boot, State.ALIVE)
         board = Board(me)
         others = {vm: Member(vm, "a1", PLACES[vm], 1, State.ALIVE) for vm in fleet.names}
@@ -107,10 +108,16 @@
         feed = RelayedFeed("t", self.own, self.zone, self.hub, fleet.follow)
         self.task = FeedTask("t", feed, 0.5, self._publish, random.Random(1))
 
-    def _publish(self, values, revision):
-        self.known = values
+    def _publish(self, values, revision, grace_s):
+        now = feeds.monotonic()
+        self._list.take(values, now + grace_s, now)
         self.revisions.append(revision)
 
+    @property
+    def known(self):
+        self._list.expire(feeds.monotonic())
+        return dict(self._list.values)
+
 
 class FakeFleet:
     """A zone of VMs, two of them delegates, that reach each other unless cut."""
@@ -245,10 +252,10 @@
     clock.now += RELAY_AGE_S / 2
     fleet.step()
     assert all(vm.known == {"a": 1} for vm in fleet.vms.values())
-    clock.now += feeds.LAPSE_GRACE_S / 2
+    clock.now += LAPSE_GRACE_S / 2
     fleet.store.set("b", 2)
     fleet.step()
-    clock.now += feeds.LAPSE_GRACE_S / 2 + 0.1
+    clock.now += LAPSE_GRACE_S / 2 + 0.1
     fleet.step()
     assert all(vm.known == {"b": 2} for vm in fleet.vms.values())
 
