A signal to stop is never lost; refusals past their deadline say when to come back

Cause of a not-run answer without Retry-After (test_goodput under load): a request whose deadline passed before it was sent on is 504, and only 503 got the default.

--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -1,7 +1,6 @@
 """The daemon: puts actors, tasks and servers together, and stops without harm to callers."""
 
 import random
-import signal
 import socket
 import threading
 import time
@@ -33,6 +32,7 @@
 from gypsumwind.records import RecordsActor
 from gypsumwind.servers import Server
 from gypsumwind.settings import Settings
+from gypsumwind.signals import StopSignals
 from gypsumwind.stores import HttpStore
 from gypsumwind.tasks import Task
 from gypsumwind.utils import monotonic, wall
@@ -206,11 +206,9 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
-        ended = threading.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: ended.set())
-        ended.wait()
-        self.stop()
+        with StopSignals() as signals:
+            signals.wait()
+            self.stop()
 
     def stop(self) -> None:
         """Leave: out of look-ups, wait for cached ones, hand over, finish what is in flight."""
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import sys
-import threading
 from contextlib import ExitStack
 
 import click
@@ -19,6 +18,7 @@
 from gypsumwind.platform.settings import PlatformSettings, read_platform_settings
 from gypsumwind.platform.store import KindFeed, PlatformStore, VmRegistry
 from gypsumwind.servers import Server
+from gypsumwind.signals import StopSignals
 
 SETTINGS_VARIABLE = "GYPSUMWIND_SETTINGS"
 DEFAULT_SETTINGS = "/etc/gypsumwind/settings.conf"
@@ -45,9 +45,7 @@
 
 
 def _run(path: str, settings: PlatformSettings) -> None:
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
+    stop_signals = StopSignals()
     cfg = settings.cfg
     store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
     daemon = DirectDaemon(
@@ -64,7 +62,7 @@
             ip, port = getattr(settings, name)
             stack.enter_context(Server(name, ip, port, PAGE_THREADS, pages.handle))
         stack.enter_context(reload)
-        ended.wait()
+        stop_signals.wait()
         daemon.stop()
         end_logging()
         os._exit(0)
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -58,6 +58,12 @@
 """Period in which the server closes connections that have been idle for too long."""
 
 
+def _may_come_back(exc: RequestError) -> bool:
+    """Tell whether an error is a refusal that time may mend: its caller is told when to return."""
+    not_run = exc.verdict is Verdict.NOT_RUN and exc.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return not_run or exc.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class Exchange:
     """One HTTP request with the means to answer it."""
 
@@ -170,7 +176,7 @@
             (H_VM, vm),
         ]
         retry_s = exc.retry_after_s
-        if retry_s is None and exc.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if retry_s is None and _may_come_back(exc):
             retry_s = DEFAULT_RETRY_S
         if retry_s is not None:
             wait = f"{retry_s:.2f}" if fractions else max(1, round(retry_s))
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -58,6 +58,22 @@
     ]
 
 
+@pytest.mark.parametrize("size", [20_000, 3_000_000])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_upload_that_its_caller_cuts_is_not_run(fleet, size, chunked):
+    """Small bodies are read whole before they are sent on, large ones are streamed."""
+    sock = connect(first(fleet))
+    kind = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
+    head = f"POST /put/a HTTP/1.1\r\nHost: files.example\r\n{kind}\r\n"
+    sock.sendall(f"{head}Gypsumwind-Request-Id: cut\r\n\r\n".encode())
+    part = b"x" * (size // 4)
+    sock.sendall((b"%x\r\n%b\r\n" % (len(part), part) if chunked else part) * 3)
+    sock.close()
+    assert fleet.send(first(fleet), "/put/b", "POST", "files.example", "r-2").status == 200
+    time.sleep(0.5)
+    assert [r[0] for r in fleet.instances["i-3"].ran] == ["r-2"]
+
+
 def test_instance_gets_what_time_is_left_and_its_own_name(fleet):
     fleet.send(first(fleet), headers={"Gypsumwind-Deadline-Ms": "1500"})
     headers = [h for up in fleet.instances.values() for _, h in up.asked][0]
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -40,6 +40,9 @@
     def do_GET(self):
         up = self.server.standin
         body = self._body()
+        if body is None:
+            self.close_connection = True
+            return
         request = self.headers.get("Gypsumwind-Request-Id", "")
         with up.lock:
             up.asked.append((request, dict(self.headers)))
@@ -82,14 +85,19 @@
         return True
 
     def _body(self):
+        """Return the body, None if the connection ends before it does."""
         if "chunked" not in self.headers.get("Transfer-Encoding", ""):
-            return self.rfile.read(int(self.headers.get("Content-Length", "0")))
+            length = int(self.headers.get("Content-Length", "0"))
+            data = self.rfile.read(length)
+            return data if len(data) == length else None
         data = b""
-        while size := int(self.rfile.readline(), 16):
-            data += self.rfile.read(size)
+        while size := int(self.rfile.readline() or b"-1", 16):
+            part = self.rfile.read(size) if size > 0 else b""
+            if len(part) < size or size < 0:
+                return None
+            data += part
             self.rfile.readline()
-        self.rfile.readline()
-        return data
+        return data if self.rfile.readline() else None
 
     def _answer(self, status, data, request, headers=None, signed=True, short=False):
         self.send_response(status)
--- /dev/null
+++ b/tests/standins/test_steered.py
@@ -0,0 +1,26 @@
+"""The stand-in of an instance keeps its own promises, which tests of the daemons rest on."""
+
+import socket
+
+import pytest
+
+from tests.standins.steered import Instance
+
+HEAD = "POST /put/a HTTP/1.1\r\nHost: h\r\nGypsumwind-Target-Instance: i-1\r\n"
+CUT = {
+    "length": "Content-Length: 20000\r\n\r\n" + 10_000 * "x",
+    "chunk": "Transfer-Encoding: chunked\r\n\r\n4000\r\nxxxx",
+    "last chunk": "Transfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n",
+    "end": "Transfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n0\r\n",
+}
+
+
+@pytest.mark.parametrize("where", CUT)
+def test_instance_does_not_run_a_body_that_was_cut(where):
+    with Instance("i-1") as up:
+        ip, _, port = up.address.partition(":")
+        with socket.create_connection((ip, int(port)), 5) as sock:
+            sock.sendall((HEAD + CUT[where]).encode())
+            sock.shutdown(socket.SHUT_WR)
+            assert not sock.recv(100)
+        assert up.ran == []
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -34,6 +34,11 @@
     assert "Retry-After: 1\r\n" in answer(exc)
 
 
+def test_refusal_says_so_too_if_its_deadline_has_passed_before_it_was_sent_on(answer):
+    exc = RequestError(Code.DEADLINE_EXCEEDED, "the deadline has passed", Verdict.NOT_RUN, 504)
+    assert "Retry-After: 1\r\n" in answer(exc)
+
+
 def test_time_to_come_back_is_whole_unless_the_callers_read_fractions(answer):
     exc = RequestError(Code.NO_CAPACITY, "full", Verdict.NOT_RUN, 503, 0.25)
     assert "Retry-After: 1\r\n" in answer(exc)
