Instances that leave or want nothing say so in answers; downloads; malformed records end no actor

Server-Leaving of an answer takes that incarnation out at once, whatever lists say, until a newer one registers; VMs of the zone tell each other by records (core/departures.py). Retry-After of an instance's 503 leaves it alone until then, bounded; requests wait for the end of a pause if they can still be served, else they are refused with that time; a request that runs out of tries is told when room is expected. Downloads may repeat; they were decoded as non-idempotent. The state machine of the dispatcher gets both; integration tests on two VMs. Found by a fuzz of records: payloads of four kinds raised TypeError, and the records actor of a VM ended on such a record of another VM.

--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from gypsumwind.core.admission import Headroom
+from gypsumwind.core.departures import Departure
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.routes import ServiceRoute
@@ -92,7 +93,7 @@
 
 
 class Board:
-    """The latest snapshots; rules, upstreams and closed zones are those of the direct way.
+    """The latest snapshots; rules, upstreams, closed zones and departures are of the direct way.
 
     `steerable` is set once rules and upstreams are known.
     """
@@ -111,6 +112,7 @@
         "rules",
         "upstreams",
         "closed_zones",
+        "departures",
         "steerable",
     )
 
@@ -128,4 +130,5 @@
         self.rules: Ruleset | None = None
         self.upstreams = UpstreamList()
         self.closed_zones: frozenset[str] = frozenset()
+        self.departures: Mapping[str, Departure] = {}
         self.steerable = threading.Event()
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
+from gypsumwind.core.departures import Departures
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.lapses import GracedList
 from gypsumwind.core.placement import Place, Site, homes, site_weights
@@ -89,6 +90,9 @@
 that connection, as instances that stay do now and then.
 """
 
+MAX_PAUSE_S = 60.0
+"""Longest time for which an instance is left alone on its own word; it may say so again."""
+
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
 """Bounds of what a refused caller is told to wait, in seconds."""
@@ -189,7 +193,9 @@
         "eject_s",
         "cold_until",
         "cold_next",
+        "paused_until",
         "leaving",
+        "departing",
         "misdirected",
     )
 
@@ -205,13 +211,15 @@
         self.eject_s = EJECT_S
         self.cold_until = -math.inf
         self.cold_next = -math.inf
+        self.paused_until = -math.inf
         self.leaving = False
+        self.departing = False
         self.misdirected = False
 
     @property
     def listed(self) -> bool:
         """Tell whether the entry holds: the instance stays, and is where the entry says."""
-        return not self.leaving and not self.misdirected
+        return not self.leaving and not self.departing and not self.misdirected
 
     def load(self, now: float) -> float:
         """Return the requests that the instance is taken to have: own ones and other VMs'."""
@@ -314,6 +322,7 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.closed_zones: frozenset[str] = frozenset()
         self._listed = GracedList()
+        self._departures = Departures()
         self._lanes: dict[str, Lane] = {}
         self._gone: dict[str, tuple[Lane, float]] = {}
         self._services: dict[str, _ServiceState] = {}
@@ -361,6 +370,7 @@
             lane.upstream = up
             lane.region = self._regions.get(up.zone, "")
             lane.leaving = up.draining
+            lane.departing = self._departures.covers(up)
             if up.cold_until > epoch:
                 lane.cold_until = max(lane.cold_until, now + up.cold_until - epoch)
             lanes[up.id] = lane
@@ -422,6 +432,33 @@
         if lane is not None and lane.upstream.incarnation == upstream.incarnation:
             lane.leave_out(now + LEAVING_S)
 
+    def hear_departure(self, name: str, incarnation: int) -> bool:
+        """An instance leaves on its own word, heard here or by another VM; tell if it is news."""
+        if not self._departures.add(name, incarnation):
+            return False
+        lane = self._known(name)
+        if lane is not None:
+            lane.departing = self._departures.covers(lane.upstream)
+        self._replan()
+        return True
+
+    def hear_pause(self, upstream: Upstream, seconds: float, now: float) -> None:
+        """An instance wants nothing from this VM for so long."""
+        lane = self._known(upstream.id)
+        if lane is not None and lane.upstream.incarnation == upstream.incarnation:
+            lane.paused_until = max(lane.paused_until, now + min(MAX_PAUSE_S, seconds))
+
+    def room_in_s(self, service: str, now: float) -> float:
+        """Return when a caller whose request found no room may come back, in seconds.
+
+        That is once an instance takes requests, and those that wait here have gone.
+        """
+        state = self._state(service)
+        anyone = Wanted(0, service, "", 0, math.inf)
+        opens_at = self._opens_at(anyone, now)
+        queue_s = len(state.waiting) / self._rate(state, anyone, now)
+        return self._retry_s(max(queue_s, opens_at - now if opens_at < math.inf else state.work_s))
+
     def cancel(self, ticket: int) -> None:
         """Forget a request that waits."""
         for state in self._services.values():
@@ -477,8 +514,10 @@
 
     def _wait(self, state: _ServiceState, wanted: Wanted, now: float) -> Refused | None:
         """Queue a request if it can be served in time, by its objective or by its deadline."""
-        if not any(True for _ in self._open(wanted, now)):
-            return Refused("no-upstream", self._retry_s(state.work_s))
+        opens_at = self._opens_at(wanted, now)
+        if opens_at + state.work_s >= wanted.deadline:
+            known = opens_at < math.inf
+            return Refused("no-upstream", self._retry_s(opens_at - now if known else state.work_s))
         rate = self._rate(state, wanted, now)
         before = [w.wanted for w in state.waiting if w.wanted.priority <= wanted.priority]
         wait_s = len(before) / rate
@@ -510,10 +549,18 @@
 
     def _open(self, wanted: Wanted, now: float) -> list[Lane]:
         """Return the instances that may get the request now, whatever their load."""
-        lanes = [lane for lane in self._lanes.values() if self._allowed(lane, wanted)]
+        lanes = [la for la in self._lanes.values() if self._allowed(la, wanted)]
+        lanes = [lane for lane in lanes if now >= lane.paused_until]
         healthy = [lane for lane in lanes if now >= lane.ejected_until]
         return [lane for lane in healthy or lanes if self._warm_enough(lane, now)]
 
+    def _opens_at(self, wanted: Wanted, now: float) -> float:
+        """Return when an instance may get the request: now, at the end of a pause, or inf."""
+        if self._open(wanted, now):
+            return now
+        lanes = [lane for lane in self._lanes.values() if self._allowed(lane, wanted)]
+        return min((la.paused_until for la in lanes if la.paused_until > now), default=math.inf)
+
     def _allowed(self, lane: Lane, wanted: Wanted) -> bool:
         up = lane.upstream
         return (
--- a/gypsumwind/core/rules.py
+++ b/gypsumwind/core/rules.py
@@ -24,11 +24,13 @@
     NON_IDEMPOTENT = "non-idempotent"
     UPLOAD = "upload"
     """Non-idempotent with a large body."""
+    DOWNLOAD = "download"
+    """Idempotent with large answers."""
 
     @property
     def repeatable(self) -> bool:
         """Tell whether a request that may have run may be sent again."""
-        return self is Kind.IDEMPOTENT
+        return self in (Kind.IDEMPOTENT, Kind.DOWNLOAD)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -14,6 +14,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
 from gypsumwind.connections import Connections
+from gypsumwind.core.departures import Departure
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.records import CONFIG_SCOPE, Record
@@ -34,7 +35,7 @@
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
-from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY
+from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY, departure_record
 from gypsumwind.peers import Peers, PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
@@ -166,7 +167,7 @@
         cfg, board, rng = self._cfg, self.board, self._rng
         metrics = Metrics(cfg.tenants)
         enter = self._stack.enter_context
-        self._dispatch = DispatchActor.start(cfg, self._steering, board, rng)
+        self._dispatch = DispatchActor.start(cfg, self._steering, board, rng, self._spread)
         spread = SpreadTask(cfg, board, rng)
         self._records = RecordsActor.start(board, cfg.zone, cfg.region, self._dispatch, spread.put)
         self._start_members(enter)
@@ -248,6 +249,10 @@
     def _put_closed(self, values: Mapping[str, Any], revision: int, grace_s: float) -> None:
         self._put(CLOSED_ZONES_KEY, revision, sorted(values))
 
+    def _spread(self, departure: Departure) -> None:
+        """Tell the VMs of the zone of an instance that leaves."""
+        self._records.tell(msg.PutRecords((departure_record(departure, self._cfg.zone),)))
+
     def _put(self, key: str, version: int, doc: Any) -> None:
         record = Record(key, version, CONFIG_SCOPE, pack_json(doc))
         self._records.tell(msg.PutRecords((record,)))
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -1,13 +1,14 @@
 """The actor that places requests on upstream instances for the direct way."""
 
 import random
+from collections.abc import Callable
 from concurrent.futures import Future, InvalidStateError
 from typing import Any
 
-import pykka
-
 from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
 from gypsumwind.board import Board
+from gypsumwind.core.departures import Departure
 from gypsumwind.core.dispatch import ColdBound, Decision, Dispatcher, Outcome, Placed
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.repeats import RepeatBudget
@@ -19,13 +20,19 @@
 log = Log("dispatchers")
 
 
-class DispatchActor(pykka.ThreadingActor):
+class DispatchActor(Actor):
     """Owns the dispatcher, the requests that wait in it, and the budget for repeats."""
 
     def __init__(
-        self, cfg: Settings, steering: SteeringSettings, board: Board, rng: random.Random
+        self,
+        cfg: Settings,
+        steering: SteeringSettings,
+        board: Board,
+        rng: random.Random,
+        spread: Callable[[Departure], None] = lambda departure: None,
     ) -> None:
         super().__init__()
+        self._spread = spread
         self._cfg = cfg
         self._steering = steering
         self._board = board
@@ -33,15 +40,9 @@
         self._futures: dict[int, Future] = {}
         self._budgets: dict[str, RepeatBudget] = {}
 
-    def on_receive(self, message: Any) -> Any:
-        """Handle a message; a fault is logged and does not end the actor, all wait for it."""
-        try:
-            return self._handle(message, monotonic())
-        except Exception as exc:
-            log.error("actor-failed", message=type(message).__name__, error=repr(exc))
-            return None
-
-    def _handle(self, message: Any, now: float) -> Any:
+    def handle(self, message: Any) -> Any:
+        """Handle the messages about requests, steering, and Tick."""
+        now = monotonic()
         match message:
             case msg.Place():
                 self._place(message, now)
@@ -52,6 +53,8 @@
                 self._ended(message, now)
             case msg.TakeRepeat():
                 return self._budget(message.service).take(now, self._dispatcher.fleet.size)
+            case msg.ExpectRoom():
+                return self._dispatcher.room_in_s(message.service, now)
             case msg.SyncSteering():
                 self._sync(now)
             case msg.SetSteering():
@@ -75,8 +78,16 @@
             self._decide(wanted.ticket, decision, now)
 
     def _ended(self, message: msg.SendEnded, now: float) -> None:
+        up = message.upstream
         if message.closing:
-            self._dispatcher.hear_close(message.upstream, now)
+            self._dispatcher.hear_close(up, now)
+        if message.leaving and self._dispatcher.hear_departure(up.id, up.incarnation):
+            departure = Departure(up.id, up.incarnation, wall())
+            log.info("instance-departs", instance=up.id, incarnation=up.incarnation, heard_s=0.0)
+            self._spread(departure)
+        if message.pause_s > 0:
+            log.info("instance-paused", instance=up.id, pause_s=message.pause_s)
+            self._dispatcher.hear_pause(up, message.pause_s, now)
         self._dispatcher.finish(
             message.upstream, message.outcome, message.report, message.seconds, now
         )
@@ -114,6 +125,13 @@
         if board.rules is not None:
             self._dispatcher.policies = board.rules.services
         epoch = wall()
+        for departure in board.departures.values():
+            name, incarnation = departure.id, departure.incarnation
+            if self._dispatcher.hear_departure(name, incarnation):
+                heard_s = round(epoch - departure.heard_at, 3)
+                log.info(
+                    "instance-departs", instance=name, incarnation=incarnation, heard_s=heard_s
+                )
         grace_until = now + board.upstreams.grace_s(epoch)
         self._dispatcher.set_upstreams(board.upstreams, now, epoch, grace_until)
         self._dispatcher.set_closed_zones(board.closed_zones, now)
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -1,8 +1,10 @@
 """One request sent to one upstream instance, and its answer or what is known without one."""
 
+import math
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http.client import HTTPException
+from typing import Any
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
@@ -10,20 +12,26 @@
 
 from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
 from gypsumwind.connections import Connections
-from gypsumwind.core.dispatch import Outcome, ReportedLoad
+from gypsumwind.core.dispatch import MAX_PAUSE_S, Outcome, ReportedLoad
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import TrackedConnection, cancelled
+from gypsumwind.log import Log
 from gypsumwind.steering import HeaderNames
 from gypsumwind.utils import monotonic
 
+log = Log("exchanges")
+
 BUFFER_BYTES = 256 * 1024
 """Answers up to this size are read whole before the caller gets a byte, so a cut one is retried."""
 
 CONNECT_S = 1.0
 """Longest wait for a connection: well over a lost first packet's second try."""
 
+MAX_LOGGED = 40
+"""Characters of an instance's word that go into a log line."""
+
 BODILESS = frozenset((204, 304))
 NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
 SKIPPED = ("user-agent", "accept-encoding")
@@ -47,7 +55,8 @@
 class Sent:
     """How a send ended: an answer that may go to the caller, or an error with its verdict.
 
-    `closing` tells that the answer closed its connection.
+    `closing` tells that the answer closed its connection, `leaving` that the instance stops soon,
+    and `pause_s` for how long it wants nothing.
     """
 
     outcome: str
@@ -55,6 +64,8 @@
     error: RequestError | None = None
     report: ReportedLoad | None = None
     closing: bool = False
+    leaving: bool = False
+    pause_s: float = 0.0
     seconds: float = 0.0
 
 
@@ -82,8 +93,7 @@
         except BaseException:
             conn.close()
             raise
-        seconds = monotonic() - started
-        return Sent(sent.outcome, sent.answer, sent.error, sent.report, sent.closing, seconds)
+        return replace(sent, seconds=monotonic() - started)
 
     def _connect(self, conn: TrackedConnection, kept: bool, req: Request) -> Sent | None:
         left = req.deadline - monotonic()
@@ -115,7 +125,8 @@
             self._write(conn, up, req, left)
             conn.timeout = max(0.001, req.deadline - monotonic())
             response = conn.getresponse()
-            return self._read(conn, response, req)
+            sent = self._read(conn, response, req)
+            return replace(sent, **self._wishes(up, response))
         except TimeoutError as exc:
             conn.close()
             return _failed(
@@ -184,6 +195,19 @@
         outcome = Outcome.FAILED if response.status >= 500 else Outcome.OK
         return Sent(outcome, whole, None, report, closing)
 
+    def _wishes(self, up: Upstream, response: HTTPResponse) -> dict[str, Any]:
+        """Return what an instance says of the requests to come, as values of Sent.
+
+        An answer that is not of this instance, or not to this request, says nothing of it.
+        """
+        if response.status == 421:
+            return {}
+        headers = response.headers
+        pause_s = 0.0
+        if response.status == 503 and "retry-after" in headers:
+            pause_s = _pause_s(up, headers["retry-after"])
+        return {"leaving": headers.get(self._names.leaving) == "1", "pause_s": pause_s}
+
     def _body(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Answer:
         """Return the answer; up to BUFFER_BYTES of its body have been read."""
         headers = [(n, v) for n, v in response.headers.items() if n.lower() not in HOP_BY_HOP]
@@ -237,6 +261,17 @@
     return "close" in response.headers.get("connection", "").lower()
 
 
+def _pause_s(up: Upstream, text: str) -> float:
+    """Return the seconds for which an instance wants nothing; 0 if they cannot be read."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0.0 <= seconds <= MAX_PAUSE_S:
+        log.warning("retry-after-odd", instance=up.id, text=text[:MAX_LOGGED], most=MAX_PAUSE_S)
+    return min(seconds, MAX_PAUSE_S) if seconds > 0 else 0.0
+
+
 def _nothing() -> None:
     return
 
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -120,7 +120,7 @@
             if sent.outcome in (Outcome.CANCELLED, Outcome.LATE):
                 break
         assert last is not None
-        raise self._final(doubt, last)
+        raise self._final(service, doubt, last)
 
     def _request(self, ex: Exchange, rule: Rule, arrived: float) -> Request:
         names = self._names
@@ -173,7 +173,15 @@
             sent = self._exchanger.send(up, req)
         finally:
             self._dispatch.tell(
-                msg.SendEnded(up, sent.outcome, sent.report, sent.seconds, sent.closing)
+                msg.SendEnded(
+                    up,
+                    sent.outcome,
+                    sent.report,
+                    sent.seconds,
+                    sent.closing,
+                    sent.leaving,
+                    sent.pause_s,
+                )
             )
         log.info(
             "request-sent",
@@ -191,6 +199,7 @@
             error=sent.error.message if sent.error else "",
             took_s=round(sent.seconds, 3),
             closing=sent.closing,
+            leaving=sent.leaving,
         )
         return sent
 
@@ -213,11 +222,11 @@
             return False
         return bool(msg.ask(self._dispatch, msg.TakeRepeat(service)))
 
-    def _final(self, doubt: RequestError | None, last: RequestError) -> RequestError:
+    def _final(self, service: str, doubt: RequestError | None, last: RequestError) -> RequestError:
         """An earlier send that may have run taints the verdict of the whole request."""
         if doubt is None or last.verdict is not Verdict.NOT_RUN:
             if last.verdict is Verdict.NOT_RUN and last.retry_after_s is None:
-                last.retry_after_s = UNKNOWN_RETRY_S
+                last.retry_after_s = msg.ask(self._dispatch, msg.ExpectRoom(service))
             return last
         return RequestError(doubt.code, doubt.message, doubt.verdict, doubt.status)
 
--- a/gypsumwind/keys.py
+++ b/gypsumwind/keys.py
@@ -3,14 +3,13 @@
 from dataclasses import replace
 from typing import Any
 
-import pykka
-
 from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
 from gypsumwind.core.idempotency import KeyTable
 from gypsumwind.utils import wall
 
 
-class HomeActor(pykka.ThreadingActor):
+class HomeActor(Actor):
     """Owns the memory of the idempotency keys whose home is this VM."""
 
     def __init__(self, home: msg.HomeId, capacity: int, max_bytes: int) -> None:
@@ -20,7 +19,7 @@
         self._max_bytes = max_bytes
         self._bytes = 0
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle the messages about keys, and Tick."""
         match message:
             case msg.BeginKey():
--- a/gypsumwind/members.py
+++ b/gypsumwind/members.py
@@ -3,9 +3,8 @@
 import socket
 from typing import Any
 
-import pykka
-
 from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
 from gypsumwind.board import Board, MembersView
 from gypsumwind.core.membership import Envelope, Membership
 from gypsumwind.log import Log
@@ -16,7 +15,7 @@
 log = Log("members")
 
 
-class MembersActor(pykka.ThreadingActor):
+class MembersActor(Actor):
     """Owns the membership protocol and sends its datagrams."""
 
     def __init__(self, membership: Membership, sock: socket.socket, board: Board) -> None:
@@ -26,7 +25,7 @@
         self._board = board
         self._published = -1
 
-    def on_receive(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Handle Tick, Received, Leave, AddSeeds and Resume."""
         now = monotonic()
         match message:
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -345,13 +345,18 @@
 
 @dataclass(slots=True, frozen=True)
 class SendEnded:
-    """To the dispatch actor: a send ended so, after so many seconds, and told this load."""
+    """To the dispatch actor: a send ended so, after so many seconds, and told this load.
+
+    The instance says that it leaves (`leaving`), and for how long it wants nothing (`pause_s`).
+    """
 
     upstream: Upstream
     outcome: str
     report: ReportedLoad | None
     seconds: float
     closing: bool
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -361,6 +366,13 @@
     service: str
 
 
+@dataclass(slots=True, frozen=True)
+class ExpectRoom:
+    """To the dispatch actor: in how many seconds a service will have room for a caller."""
+
+    service: str
+
+
 @dataclass(slots=True, frozen=True)
 class SetSteering:
     """To the dispatch actor: the operators have changed the bounds."""
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -1,15 +1,18 @@
 """Records as daemons spread them: their keys, and the typed values in their payloads."""
 
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
 from typing import Any
 
 from gypsumwind import messages as msg
 from gypsumwind.board import Heir, VmLoad, ZoneLoad
+from gypsumwind.core.departures import Departure
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.rules import ruleset_from_json
 from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
 from gypsumwind.core.upstreams import upstreams_from_json
-from gypsumwind.utils import unpack_json, wall
+from gypsumwind.utils import pack_json, unpack_json, wall
 from gypsumwind.wire import headroom_from_wire, thrift, unpack
 
 TABLE_PREFIX = "table/"
@@ -21,11 +24,15 @@
 RULES_KEY = "steering/rules"
 UPSTREAMS_KEY = "steering/upstreams"
 CLOSED_ZONES_KEY = "steering/closed-zones"
+DEPARTURE_PREFIX = "departure/"
+
+EXPIRING = (HEIR_PREFIX, DEPARTURE_PREFIX)
+"""Kinds of records that are unreadable once they have expired."""
 
 
 def table_of(record: Record) -> ServiceTable:
     """Return the whole table of a table/ record."""
-    return table_from_json(unpack_json(record.payload))
+    return _table_from_bytes(record.payload)
 
 
 def is_config(key: str) -> bool:
@@ -40,25 +47,16 @@
 
 def decode(record: Record) -> Any:
     """Return the typed value of a record; ValueError or TableError if it is unreadable."""
-    if record.key == PLACES_KEY:
-        return places_from_json(unpack_json(record.payload))
-    if record.key.startswith(TABLE_PREFIX):
-        return table_of(record)
-    if record.key.startswith(VM_PREFIX):
-        return vm_load_from_bytes(record.payload)
-    if record.key.startswith(ZONE_PREFIX):
-        return zone_load_from_bytes(record.payload)
-    if record.key == VMLIST_KEY:
-        return unpack_json(record.payload)
-    if record.key == RULES_KEY:
-        return ruleset_from_json(unpack_json(record.payload))
-    if record.key == UPSTREAMS_KEY:
-        return upstreams_from_json(unpack_json(record.payload))
-    if record.key == CLOSED_ZONES_KEY:
-        return frozenset(unpack_json(record.payload))
-    if record.key.startswith(HEIR_PREFIX):
-        return heir_from_bytes(record.payload)
-    raise ValueError(f"unknown kind of record: {record.key}")
+    read = DECODERS.get(record.key)
+    if read is None:
+        prefix = record.key.partition("/")[0] + "/"
+        read = PREFIX_DECODERS.get(prefix)
+    if read is None:
+        raise ValueError(f"unknown kind of record: {record.key}")
+    try:
+        return read(record.payload)
+    except (TypeError, KeyError, AttributeError) as exc:
+        raise ValueError(f"{record.key}: {exc!r}") from exc
 
 
 def vm_load_from_bytes(payload: bytes) -> VmLoad:
@@ -84,3 +82,44 @@
     if wire.expires <= wall():
         raise ValueError("expired")
     return Heir((wire.vm, wire.incarnation), wire.heir, wire.expires)
+
+
+def departure_record(departure: Departure, scope: str) -> Record:
+    """Return the record of a departure: of two incarnations of an instance the newer one counts."""
+    key = DEPARTURE_PREFIX + departure.id
+    return Record(key, departure.incarnation, scope, pack_json(asdict(departure)))
+
+
+def _table_from_bytes(payload: bytes) -> ServiceTable:
+    return table_from_json(unpack_json(payload))
+
+
+def _departure_from_bytes(payload: bytes) -> Departure:
+    doc = unpack_json(payload)
+    try:
+        name, incarnation = str(doc["id"]), int(doc["incarnation"])
+        departure = Departure(name, incarnation, float(doc["heard_at"]))
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"departure: {exc!r}") from exc
+    if departure.expires <= wall():
+        raise ValueError("expired")
+    return departure
+
+
+DECODERS: Mapping[str, Callable[[bytes], Any]] = {
+    PLACES_KEY: lambda payload: places_from_json(unpack_json(payload)),
+    VMLIST_KEY: unpack_json,
+    RULES_KEY: lambda payload: ruleset_from_json(unpack_json(payload)),
+    UPSTREAMS_KEY: lambda payload: upstreams_from_json(unpack_json(payload)),
+    CLOSED_ZONES_KEY: lambda payload: frozenset(unpack_json(payload)),
+}
+"""How records of one key are read."""
+
+PREFIX_DECODERS: Mapping[str, Callable[[bytes], Any]] = {
+    TABLE_PREFIX: _table_from_bytes,
+    VM_PREFIX: vm_load_from_bytes,
+    ZONE_PREFIX: zone_load_from_bytes,
+    HEIR_PREFIX: heir_from_bytes,
+    DEPARTURE_PREFIX: _departure_from_bytes,
+}
+"""How records are read of which there are many, by what their keys begin with."""
--- a/gypsumwind/permits.py
+++ b/gypsumwind/permits.py
@@ -8,6 +8,7 @@
 import pykka
 
 from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
 from gypsumwind.board import Board, HoldsView
 from gypsumwind.core.admission import (
     Admission,
@@ -33,7 +34,7 @@
 log = Log("permits")
 
 
-class GateActor(pykka.ThreadingActor):
+class GateActor(Actor):
     """Owns holds, slots, attempts and the fence of this VM: all that guards a capacity."""
 
     def __init__(
@@ -79,7 +80,7 @@
             msg.GetHolds: self._get_holds,
         }
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Dispatch a message to its handler."""
         handler = self._handlers[type(message)]
         return handler(message, monotonic())
--- a/gypsumwind/platform/decoding.py
+++ b/gypsumwind/platform/decoding.py
@@ -19,6 +19,7 @@
     "safe": Kind.IDEMPOTENT,
     "non_idempotent": Kind.NON_IDEMPOTENT,
     "upload": Kind.UPLOAD,
+    "download": Kind.DOWNLOAD,
 }
 STATES = {"ready": False, "draining": True}
 
--- a/gypsumwind/platform/headers.py
+++ b/gypsumwind/platform/headers.py
@@ -11,6 +11,7 @@
     not_run="gypsumwind-not-executed",
     signature="gypsumwind-response-signature",
     load="gypsumwind-instance-load",
+    leaving="server-leaving",
 )
 
 
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -6,6 +6,7 @@
 import pykka
 
 from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
 from gypsumwind.board import Board
 from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
 from gypsumwind.core.routes import route_of
@@ -14,6 +15,8 @@
 from gypsumwind.log import Log
 from gypsumwind.payloads import (
     CLOSED_ZONES_KEY,
+    DEPARTURE_PREFIX,
+    EXPIRING,
     HEIR_PREFIX,
     PLACES_KEY,
     RULES_KEY,
@@ -32,7 +35,7 @@
 log = Log("records")
 
 
-class RecordsActor(pykka.ThreadingActor):
+class RecordsActor(Actor):
     """Owns the versioned records; publishes tables and loads, and spreads new tables."""
 
     def __init__(
@@ -50,7 +53,7 @@
         self._gate = gate
         self._spread = spread
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle PutRecords and the questions about records."""
         match message:
             case msg.PutRecords():
@@ -59,6 +62,7 @@
                 self._prune()
                 return self._put((self._next_version(message),))
             case msg.GetDigests():
+                self._prune_departures()
                 return {scope: self._records.digest(scope) for scope in self._records.scopes()}
             case msg.GetVersions():
                 return self._records.versions(message.scope)
@@ -107,6 +111,16 @@
                 heirs = self._board.heirs
                 self._board.heirs = {h: v for h, v in heirs.items() if h != heir.home}
 
+    def _prune_departures(self) -> None:
+        """Forget the departures that VMs have told each other for long enough."""
+        board = self._board
+        expired = [d.id for d in board.departures.values() if d.expires <= wall()]
+        for name in expired:
+            self._records.drop(DEPARTURE_PREFIX + name)
+        if expired:
+            kept = {name: d for name, d in board.departures.items() if name not in expired}
+            board.departures = kept
+
     def _next_version(self, message: msg.PublishRecord) -> Record:
         known = self._records.get(message.key)
         version = max(int(wall() * 1000), known.version + 1 if known else 0)
@@ -117,7 +131,7 @@
         try:
             return decode(record)
         except (ValueError, TableError) as exc:
-            if not record.key.startswith(HEIR_PREFIX):
+            if not record.key.startswith(EXPIRING):
                 log.error("record-unreadable", key=record.key, error=str(exc))
             return None
 
@@ -152,6 +166,8 @@
         elif record.key == CLOSED_ZONES_KEY:
             board.closed_zones = value
             log.info("closed-zones-in-force", revision=record.version, zones=sorted(value))
+        elif record.key.startswith(DEPARTURE_PREFIX):
+            board.departures = {**board.departures, value.id: value}
         self._gate.tell(msg.SyncSteering())
         if board.rules is not None and board.upstreams.by_id:
             board.steerable.set()
--- a/gypsumwind/steering.py
+++ b/gypsumwind/steering.py
@@ -28,7 +28,7 @@
     """The names, in lower case, of the headers that callers, VMs and instances exchange.
 
     `not_run` marks an answer of an instance that did not run the request, `load` tells its
-    requests that run, that wait, and its slots.
+    requests that run, that wait, and its slots, `leaving` that it stops soon.
     """
 
     request_id: str
@@ -38,3 +38,4 @@
     not_run: str
     signature: str
     load: str
+    leaving: str
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -7,6 +7,7 @@
 from gypsumwind.core.dispatch import (
     EJECT_S,
     FULL_SHARE,
+    MAX_PAUSE_S,
     ColdBound,
     Dispatcher,
     Outcome,
@@ -247,6 +248,57 @@
     assert gone.id not in found
 
 
+def test_instance_that_says_that_it_leaves_gets_nothing_until_it_has_started_anew():
+    """Its entry may say ready all the while, vanish and come back."""
+    made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
+    assert made.hear_departure("i1", 1) and not made.hear_departure("i1", 1)
+    assert served_at(made, 0.1) == {"i2"}
+    made.set_upstreams([upstream("i2", slots=99)], 1.0, 1001.0)
+    made.set_upstreams([upstream("i1", slots=99), upstream("i2", slots=99)], 200.0, 1200.0)
+    assert served_at(made, 200.1) == {"i2"}
+    again = Upstream("i1", 2, "s", "127.0.0.1", 1, "a1", 99)
+    made.set_upstreams([again, upstream("i2", slots=99)], 300.0, 1300.0)
+    assert served_at(made, 300.1) == {"i1", "i2"}
+
+
+def test_request_that_waits_does_not_go_to_an_instance_that_says_meanwhile_that_it_leaves():
+    made = dispatcher([upstream("i1", slots=1)])
+    up = made.place(wanted(1), 0.0).upstream
+    assert isinstance(made.place(wanted(2), 0.0), Placed)
+    assert made.place(wanted(3), 0.0) is None
+    made.hear_departure("i1", 1)
+    made.finish(up, Outcome.OK, ReportedLoad(0, 0, 1), 0.1, 0.1)
+    assert not [d for _, d in made.drain(0.1) if isinstance(d, Placed)]
+
+
+def test_instance_gets_nothing_while_it_wants_nothing():
+    made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
+    made.hear_pause(upstream("i1"), 2.0, 0.0)
+    assert served_at(made, 1.9) == {"i2"}
+    assert served_at(made, 2.0) == {"i1", "i2"}
+
+
+def test_pause_is_not_cut_short_by_another_answer_and_does_not_outlast_its_bound():
+    made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
+    made.hear_pause(upstream("i1"), 2.0, 0.0)
+    made.hear_pause(upstream("i1"), 0.5, 0.0)
+    assert served_at(made, 1.0) == {"i2"}
+    made.hear_pause(upstream("i1"), 1e9, 2.0)
+    assert served_at(made, 2.0 + MAX_PAUSE_S) == {"i1", "i2"}
+
+
+def test_callers_of_a_service_that_wants_nothing_are_told_when_it_does():
+    made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
+    made.hear_pause(upstream("i1"), 4.0, 0.0)
+    made.hear_pause(upstream("i2"), 3.0, 0.0)
+    refused = made.place(wanted(1, deadline=3.2), 0.0)
+    assert isinstance(refused, Refused) and 1.5 <= refused.retry_after_s <= 4.5
+    assert 1.5 <= made.room_in_s("s", 0.0) <= 4.5
+    assert made.place(wanted(2, deadline=5.0), 0.0) is None
+    assert [type(d) for _, d in made.drain(2.9)] == []
+    assert [d.upstream.id for _, d in made.drain(3.0)] == ["i2"]
+
+
 def play_sheds(shedding, rounds=400):
     """Play requests on eight instances, some of which shed half of what comes; count the sends.
 
--- a/tests/core/test_dispatch_machine.py
+++ b/tests/core/test_dispatch_machine.py
@@ -52,6 +52,8 @@
         self.waits = {}
         self.cold_sends = {}
         self.ticket = 0
+        self.departed = {}
+        self.paused = {}
 
     @rule(
         entries=st.dictionaries(
@@ -74,6 +76,21 @@
             )
         self.made.set_upstreams(self.listed.values(), self.now, EPOCH + self.now)
 
+    @rule(name=st.sampled_from([f"i{n}" for n in range(5)]), older=st.booleans())
+    def departs(self, name, older):
+        """An answer of an instance, of its present or an earlier start, says that it leaves."""
+        incarnation = self.born.get(name, 1) - older
+        self.made.hear_departure(name, incarnation)
+        self.departed[name] = max(incarnation, self.departed.get(name, 0))
+
+    @rule(name=st.sampled_from([f"i{n}" for n in range(5)]), seconds=st.floats(0.01, 4.0))
+    def pauses(self, name, seconds):
+        up = self.listed.get(name)
+        if up is not None:
+            self.made.hear_pause(up, seconds, self.now)
+            until = self.paused.get((name, up.incarnation), 0.0)
+            self.paused[name, up.incarnation] = max(until, self.now + seconds)
+
     @rule(zones=st.frozensets(st.sampled_from(list(ZONES))))
     def zones_are_closed(self, zones):
         self.closed = zones
@@ -126,6 +143,8 @@
         up = decision.upstream
         assert self.listed[up.id] == up and not up.draining
         assert up.zone not in self.closed
+        assert up.incarnation > self.departed.get(up.id, 0)
+        assert self.now >= self.paused.get((up.id, up.incarnation), 0.0)
         assert not wanted.regions or ZONES[up.zone] in wanted.regions
         if EPOCH + self.now < up.cold_until:
             last = self.cold_sends.get((up.id, up.incarnation), -SPACING_S)
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -34,6 +34,10 @@
     return next(iter(fleet.vms.values()))
 
 
+def log_of(vm):
+    return vm.log_path.read_text()
+
+
 def ran(fleet, request):
     return [r for up in fleet.instances.values() for r in up.ran if r[0] == request]
 
@@ -58,6 +62,42 @@
     ]
 
 
+@pytest.mark.parametrize("fleet", [("a1", "a1")], indirect=True)
+def test_instance_that_says_that_it_leaves_gets_nothing_more_from_any_vm_of_the_zone(fleet):
+    """Its entry stays as it is all the while."""
+    one, other = fleet.vms.values()
+    home = fleet.instances[fleet.send(one, request="r-0").data.split()[0].decode()]
+    home.headers = {"Server-Leaving": "1"}
+    assert fleet.send(one, request="r-1").status == 200
+    until(lambda: f"instance-departs instance={home.name!r}" in log_of(other), text="heard")
+    count = len(home.asked)
+    answers = [fleet.send(vm, request=f"r-{vm.name}-{n}") for vm in (one, other) for n in range(5)]
+    assert [a.status for a in answers] == [200] * 10 and len(home.asked) == count
+    fleet.store.register(home.name, home.address, "lookup", "a1", born=2)
+    home.headers = {}
+    until(lambda: fleet.send(one, request="r-9") and len(home.asked) > count, text="new start")
+
+
+def test_instance_that_wants_nothing_for_a_while_gets_nothing(fleet):
+    vm = first(fleet)
+    home = fleet.instances[fleet.send(vm, request="r-0").data.split()[0].decode()]
+    home.mode, home.headers = "shed", {"Retry-After": "2.5"}
+    assert fleet.send(vm, request="r-1").status == 200
+    count = len(home.asked)
+    answers = [fleet.send(vm, request=f"r-2-{n}") for n in range(10)]
+    assert [a.status for a in answers] == [200] * 10 and len(home.asked) == count
+    home.mode, home.headers = "ok", {}
+    until(lambda: fleet.send(vm, request="r-9") and len(home.asked) > count, text="used again")
+
+
+def test_caller_is_told_when_instances_that_want_nothing_take_requests_again(fleet):
+    vm = first(fleet)
+    fleet.set_instances(mode="shed", headers={"Retry-After": "3.5"})
+    fleet.send(vm, request="r-1")
+    answer = fleet.send(vm, request="r-2", headers={"Gypsumwind-Deadline-Ms": "2000"})
+    assert answer.status == 503 and 1.0 < float(answer.headers["retry-after"]) < 6.0
+
+
 @pytest.mark.parametrize("size", [20_000, 3_000_000])
 @pytest.mark.parametrize("chunked", [False, True])
 def test_upload_that_its_caller_cuts_is_not_run(fleet, size, chunked):
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -22,7 +22,7 @@
     """An instance of a service: it keeps a log of what it ran and has faults to switch on.
 
     `mode`: ok, shed, cut (the answer is lost), short (half of the body), extra (a second answer),
-    unsigned, fail (its own 500).
+    unsigned, fail (its own 500). `headers` are sent with every answer but a 421.
     """
 
     def __init__(self, name, ip="127.0.0.1", work_s=0.0):
@@ -30,6 +30,7 @@
         self.name = name
         self.work_s = work_s
         self.mode = "ok"
+        self.headers = {}
         self.ran = []
         self.asked = []
         self.broken_off = []
@@ -101,7 +102,8 @@
 
     def _answer(self, status, data, request, headers=None, signed=True, short=False):
         self.send_response(status)
-        for name, value in (headers or {}).items():
+        own = self.server.standin.headers if status != 421 else {}
+        for name, value in {**own, **(headers or {})}.items():
             self.send_header(name, value)
         if signed:
             self.send_header(SIGNATURE, f"signed.{request}")
--- /dev/null
+++ b/tests/test_actors.py
@@ -0,0 +1,56 @@
+"""An actor goes on after a message that fails."""
+
+import pytest
+
+from gypsumwind import messages as msg
+from gypsumwind.actors import Actor
+from gypsumwind.board import Board
+from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.payloads import CLOSED_ZONES_KEY, HEIR_PREFIX, UPSTREAMS_KEY
+from gypsumwind.records import RecordsActor
+from gypsumwind.utils import pack_json
+
+
+class Picky(Actor):
+    """Fails at what is not a number, and adds up the rest."""
+
+    def __init__(self):
+        super().__init__()
+        self.total = 0
+
+    def handle(self, message):
+        self.total += message
+        return self.total
+
+
+@pytest.fixture
+def started():
+    refs = []
+
+    def start(kind, *args):
+        refs.append(kind.start(*args))
+        return refs[-1]
+
+    yield start
+    for ref in refs:
+        ref.stop()
+
+
+def test_message_that_fails_ends_neither_the_actor_nor_those_who_ask(started):
+    ref = started(Picky)
+    ref.tell("no number")
+    assert ref.ask("nor this", timeout=5) is None
+    assert ref.ask(3, timeout=5) == 3
+
+
+@pytest.mark.parametrize("payload", [b"", b"\x00", b"[1]", b'{"upstreams": [3]}'])
+@pytest.mark.parametrize("key", [HEIR_PREFIX + "x", UPSTREAMS_KEY, "unknown"])
+def test_malformed_record_of_another_vm_takes_nothing_down(started, key, payload):
+    board = Board(Member("v1", "a1", Endpoint("127.0.0.1", 0, 0, 1), 1, State.ALIVE))
+    gate = started(Picky)
+    records = started(RecordsActor, board, "a1", "a", gate, lambda found: None)
+    good = Record(CLOSED_ZONES_KEY, 5, CONFIG_SCOPE, pack_json(["a2"]))
+    records.tell(msg.PutRecords((Record(key, 9, CONFIG_SCOPE, payload), good)))
+    assert msg.ask(records, msg.GetDigests())
+    assert board.closed_zones == {"a2"}
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -30,6 +30,9 @@
 }
 
 
+ROOM_IN_S = 0.7
+
+
 class Dispatch:
     """Stands in for the dispatch actor: places on a new instance each time, or refuses."""
 
@@ -47,6 +50,8 @@
             message.future.set_result(Placed(up, 0.0, 0.0, True))
 
     def ask(self, message, timeout=None):
+        if isinstance(message, msg.ExpectRoom):
+            return ROOM_IN_S
         assert isinstance(message, msg.TakeRepeat)
         self.budget -= 1
         return self.budget >= 0
--- /dev/null
+++ b/tests/test_payloads.py
@@ -0,0 +1,38 @@
+"""Records between VMs: what was written is read, and bytes of any kind end in a ValueError."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumwind.core.departures import SPREAD_S, Departure
+from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.errors import TableError
+from gypsumwind.payloads import DECODERS, PREFIX_DECODERS, decode, departure_record
+from gypsumwind.utils import pack_json, wall
+
+KEYS = [*DECODERS, *(prefix + "x" for prefix in PREFIX_DECODERS)]
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=8,
+)
+
+
+def test_departure_is_read_as_it_was_written():
+    departure = Departure("i-1", 7, wall())
+    record = departure_record(departure, "a1")
+    assert record.version == 7 and decode(record) == departure
+
+
+def test_departure_that_has_expired_is_not_taken_back_from_others():
+    with pytest.raises(ValueError, match="expired"):
+        decode(departure_record(Departure("i-1", 7, wall() - SPREAD_S - 1), "a1"))
+
+
+@pytest.mark.parametrize("key", KEYS)
+@given(payload=st.binary(max_size=60) | JSON.map(pack_json))
+def test_malformed_record_is_an_error_that_its_reader_expects(key, payload):
+    try:
+        decode(Record(key, 1, CONFIG_SCOPE, payload))
+    except (ValueError, TableError):
+        return
