Bytes without end hold no thread beyond the deadline; an answer cut in its head is not whole

Cause: time limits of a socket count each read anew, and the library reads heads, interim answers, chunk sizes and trailers in loops of its own, so a byte now and then held a thread for good. And it takes the end of a connection within a head for the head's end: an answer without a length that was cut there passed as a whole success with an empty body. Not done: chunk sizes of callers, frames of other VMs.

--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -104,8 +104,8 @@
 
     def _start(self) -> None:
         cfg, board = self._cfg, self._board
-        self._store = HttpStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
         self._hangups = HangupTask()
+        self._store = HttpStore(cfg.store_url, cfg.store_timeout_s, cfg.ip, self._hangups)
         self._spread = SpreadTask(cfg, board, self._rng)
         self._start_actors()
         self._gossip = GossipTask(cfg, self._boot, board, self._records, self._rng)
@@ -147,8 +147,8 @@
 
     def _start_servers(self) -> None:
         cfg, board, rng = self._cfg, self._board, self._rng
-        handoffs = Handoffs(cfg, board, self._metrics)
-        gate = Gate(cfg, board, self._gate, handoffs, self._metrics, rng)
+        handoffs = Handoffs(cfg, board, self._metrics, self._hangups)
+        gate = Gate(cfg, board, self._gate, handoffs, self._metrics, rng, self._hangups)
         origin = Origin(cfg, board, gate, handoffs, self._metrics, rng)
         claims = KeyClaims(cfg, self._boot, self._store, rng)
         home_parts = HomeParts(board, self._home, origin, handoffs, claims, self._metrics)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -130,6 +130,7 @@
         read_load: Any,
         feeds: Feeds,
         registry: Registry,
+        hangups: HangupTask,
     ) -> None:
         self._cfg = cfg
         self._steering = steering
@@ -142,9 +143,9 @@
         self._me = Member(cfg.vm, cfg.zone, endpoint, self._boot, State.ALIVE)
         self.board = Board(self._me)
         self._joined = threading.Event()
-        self._hangups = HangupTask()
+        self._hangups = hangups
         self._connections = Connections(cfg.ip)
-        self._exchanger = Exchanger(self._connections, names, read_load)
+        self._exchanger = Exchanger(self._connections, names, read_load, self._hangups)
         self._names = names
         self._hub = RelayHub(self._boot, CODECS, OFTEN)
 
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from http.client import HTTPException
 from typing import Any
@@ -16,7 +17,7 @@
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
-from gypsumwind.hangups import TrackedConnection, cancelled
+from gypsumwind.hangups import Cutter, TrackedConnection, cancelled
 from gypsumwind.log import Log
 from gypsumwind.steering import HeaderNames
 from gypsumwind.utils import monotonic
@@ -32,6 +33,12 @@
 MAX_LOGGED = 40
 """Characters of an instance's word that go into a log line."""
 
+MAX_REFUSAL_BYTES = 4096
+"""Body of a refusal that is read, so that its connection can be used again; it is not passed on."""
+
+REFUSAL_BODY_S = 0.25
+"""Time that it gets to come: it is sent with its head."""
+
 BODILESS = frozenset((204, 304))
 NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
 SKIPPED = ("user-agent", "accept-encoding")
@@ -77,7 +84,9 @@
         connections: Connections,
         names: HeaderNames,
         read_load: Callable[[str], ReportedLoad | None],
+        cutter: Cutter,
     ) -> None:
+        self._cutter = cutter
         self._connections = connections
         self._names = names
         self._read_load = read_load
@@ -122,11 +131,12 @@
                 Outcome.LATE, Code.DEADLINE_EXCEEDED, "deadline passed", Verdict.NOT_RUN, 504
             )
         try:
-            self._write(conn, up, req, left)
+            with self._cutter.until(req.deadline):
+                self._write(conn, up, req, left)
             conn.timeout = max(0.001, req.deadline - monotonic())
             response = conn.getresponse()
             sent = self._read(conn, response, req)
-            return replace(sent, **self._wishes(up, response))
+            return replace(sent, **self._wishes(up, req, response))
         except TimeoutError as exc:
             conn.close()
             return _failed(
@@ -134,6 +144,8 @@
             )
         except (HTTPException, HTTPError, OSError, ValueError) as exc:
             conn.close()
+            if conn.expired:
+                return _expired(conn)
             if cancelled():
                 return _failed(
                     Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.MAY_HAVE_RUN, 499
@@ -177,16 +189,16 @@
             conn.close()
             text = f"the answer is that of request {answered_id}"
             return _failed(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
-        whole = self._body(conn, response, req)
         if response.status in NOT_RUN_STATUSES and (
             names.not_run in headers or response.status == 421
         ):
-            whole.end(True)
+            self._drop_body(conn, response)
             misdirected = response.status == 421
             text = f"instance answered {response.status}, not run"
             error = RequestError(Code.UPSTREAM_REFUSED, text, Verdict.NOT_RUN, 503)
             outcome = Outcome.MISDIRECTED if misdirected else Outcome.SHED
             return Sent(outcome, None, error, report, closing)
+        whole = self._body(conn, response, req)
         success = 200 <= response.status < 300
         if success and (names.signature not in headers or answered_id is None):
             whole.end(False)
@@ -195,19 +207,33 @@
         outcome = Outcome.FAILED if response.status >= 500 else Outcome.OK
         return Sent(outcome, whole, None, report, closing)
 
-    def _wishes(self, up: Upstream, response: HTTPResponse) -> dict[str, Any]:
+    def _wishes(self, up: Upstream, req: Request, response: HTTPResponse) -> dict[str, Any]:
         """Return what an instance says of the requests to come, as values of Sent.
 
         An answer that is not of this instance, or not to this request, says nothing of it.
         """
-        if response.status == 421:
-            return {}
         headers = response.headers
+        foreign = headers.get(self._names.request_id, req.id) != req.id
+        if response.status == 421 or foreign:
+            return {}
         pause_s = 0.0
         if response.status == 503 and "retry-after" in headers:
             pause_s = _pause_s(up, headers["retry-after"])
         return {"leaving": headers.get(self._names.leaving) == "1", "pause_s": pause_s}
 
+    def _drop_body(self, conn: TrackedConnection, response: HTTPResponse) -> None:
+        """Read a short body that nobody wants; close the connection if it is long or late."""
+        length = response.headers.get("content-length", "")
+        if not length.isdecimal() or int(length) > MAX_REFUSAL_BYTES or conn.sock is None:
+            conn.close()
+            return
+        with suppress(HTTPException, HTTPError, OSError, ValueError):
+            conn.sock.settimeout(REFUSAL_BODY_S)
+            if len(response.read1(MAX_REFUSAL_BYTES)) == int(length):
+                self._keep(conn, response)
+                return
+        conn.close()
+
     def _body(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> Answer:
         """Return the answer; up to BUFFER_BYTES of its body have been read."""
         headers = [(n, v) for n, v in response.headers.items() if n.lower() not in HOP_BY_HOP]
@@ -272,6 +298,13 @@
     return min(seconds, MAX_PAUSE_S) if seconds > 0 else 0.0
 
 
+def _expired(conn: TrackedConnection) -> Sent:
+    """Return how a send ended that was cut at its deadline, while or before its answer came."""
+    text = f"no whole answer in time, {conn.heard} bytes of one"
+    outcome = Outcome.CUT if conn.heard else Outcome.LATE
+    return _failed(outcome, Code.DEADLINE_EXCEEDED, text, Verdict.MAY_HAVE_RUN, 504)
+
+
 def _nothing() -> None:
     return
 
--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -17,6 +17,7 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.gossip import live_loads
 from gypsumwind.handoffs import HOP_OWNER, Handoffs
+from gypsumwind.hangups import Cutter
 from gypsumwind.metrics import Metrics
 from gypsumwind.permits import permit_future
 from gypsumwind.senders import Outgoing, Sender, Target
@@ -40,13 +41,14 @@
         handoffs: Handoffs,
         metrics: Metrics,
         rng: random.Random,
+        cutter: Cutter,
     ) -> None:
         self._cfg = cfg
         self._board = board
         self._gate = gate
         self._handoffs = handoffs
         self._metrics = metrics
-        self._sender = Sender(cfg.ip, cfg.connect_timeout_s)
+        self._sender = Sender(cfg.ip, cfg.connect_timeout_s, cutter)
         self._rng = rng
 
     def serve(self, call: Call) -> Answer:
--- a/gypsumwind/handoffs.py
+++ b/gypsumwind/handoffs.py
@@ -5,6 +5,7 @@
 from gypsumwind.core.membership import Member
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
+from gypsumwind.hangups import Cutter
 from gypsumwind.links import LinkBudgets
 from gypsumwind.log import Log
 from gypsumwind.metrics import Metrics
@@ -23,10 +24,10 @@
 class Handoffs:
     """Sends calls to other VMs; what comes back is an answer or an honest verdict."""
 
-    def __init__(self, cfg: Settings, board: Board, metrics: Metrics) -> None:
+    def __init__(self, cfg: Settings, board: Board, metrics: Metrics, cutter: Cutter) -> None:
         self._board = board
         self.links = LinkBudgets(cfg, board)
-        self._sender = Sender(cfg.ip, cfg.connect_timeout_s)
+        self._sender = Sender(cfg.ip, cfg.connect_timeout_s, cutter)
         self._peers = Peers(cfg.ip, cfg.peer_timeout_s)
         self._metrics = metrics
 
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -1,4 +1,8 @@
-"""Cancellation: a caller that goes away ends the work that was begun for it elsewhere."""
+"""Cancellation: a caller that goes away ends the work that was begun for it elsewhere.
+
+So does a deadline: time limits of a socket count each read anew, so a server that sends a byte now
+and then would hold its reader for ever. Connections in use are cut from outside when it passes.
+"""
 
 import contextvars
 import select
@@ -9,8 +13,11 @@
 from typing import Any, Protocol
 
 from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
 
+from gypsumwind.framing import BoundedReader, BoundedResponse
 from gypsumwind.tasks import Task
+from gypsumwind.utils import monotonic
 
 SWEEP_S = 0.1
 """Period of the look at callers' sockets; work for those gone ends well within half a second."""
@@ -18,6 +25,9 @@
 HANGUP_EVENTS = select.POLLIN | select.POLLRDHUP
 
 _scope: contextvars.ContextVar["CancelScope | None"] = contextvars.ContextVar("scope", default=None)
+_limit: contextvars.ContextVar["tuple[Cutter, float] | None"] = contextvars.ContextVar(
+    "limit", default=None
+)
 
 
 def current_scope() -> "CancelScope | None":
@@ -67,26 +77,61 @@
 
 
 class TrackedConnection(HTTPConnection):
-    """A connection that knows for which scope it is in use; a pool may pass it on."""
+    """A connection that knows for which scope it is in use, and until when; a pool may pass it on.
+
+    `expired` tells that it was cut as its time was over, `heard` the bytes of the last answer.
+    """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        self.response_class = self._bounded  # type: ignore[assignment]
+        self.expired = False
+        self.deadline: float | None = None
+        self._reader: BoundedReader | None = None
         self._scope: CancelScope | None = None
         self._scope_lock = threading.Lock()
 
+    def _bounded(self, *args: Any, **kwargs: Any) -> BoundedResponse:
+        response = BoundedResponse(*args, **kwargs)
+        self._reader = response.reader
+        return response
+
+    @property
+    def heard(self) -> int:
+        """Return the bytes that have come of the answer to the last request."""
+        return self._reader.heard if self._reader else 0
+
     def request(self, *args: Any, **kwargs: Any) -> None:
-        """Send a request for the scope of the running thread."""
-        scope = _scope.get()
+        """Send a request for the scope of the running thread, within its time limit."""
+        scope, limit = _scope.get(), _limit.get()
+        self._reader = None
         with self._scope_lock:
             self._scope = scope
+            self.deadline = limit[1] if limit else None
         if scope is not None:
             scope.add(self)
+        if limit is not None:
+            limit[0].watch(self)
         super().request(*args, **kwargs)
 
     def rest(self) -> None:
         """The request that the connection served has ended."""
         with self._scope_lock:
             self._scope = None
+            self.deadline = None
+
+    def close(self) -> None:
+        """Close the connection; it may be opened again."""
+        self.rest()
+        super().close()
+
+    def expire(self, now: float) -> None:
+        """Cut the connection if its time is over."""
+        with self._scope_lock:
+            if self.deadline is not None and now >= self.deadline and self.sock is not None:
+                self.expired = True
+                with suppress(OSError):
+                    self.sock.shutdown(socket.SHUT_RDWR)
 
     def abort(self, scope: CancelScope) -> None:
         """Cut the connection if it is still in use for this scope."""
@@ -96,11 +141,52 @@
                     self.sock.shutdown(socket.SHUT_RDWR)
 
 
-class HangupTask(Task):
+class TrackedPool(HTTPConnectionPool):
+    """A pool whose connections are cut when the request that they serve is cancelled."""
+
+    ConnectionCls = TrackedConnection
+
+    def _put_conn(self, conn: Any) -> None:
+        """Take back a connection whose answer was read to its end, or that was closed."""
+        if conn is not None:
+            conn.rest()
+        super()._put_conn(conn)
+
+
+class Cutter(Task):
+    """Cuts connections in use whose time is over."""
+
+    def __init__(self, name: str = "cutter") -> None:
+        super().__init__(name, SWEEP_S)
+        self._limited: set[TrackedConnection] = set()
+
+    def watch(self, conn: TrackedConnection) -> None:
+        """Take in a connection that has a deadline."""
+        self._limited.add(conn)
+
+    @contextmanager
+    def until(self, deadline: float) -> Iterator[None]:
+        """Cut the connections on which this block sends requests when their time is over."""
+        token = _limit.set((self, deadline))
+        try:
+            yield
+        finally:
+            _limit.reset(token)
+
+    def step(self) -> None:
+        """Cut those whose time is over, and forget those that are in use no more."""
+        now = monotonic()
+        for conn in self._limited.copy():
+            conn.expire(now)
+            if conn.deadline is None or conn.expired:
+                self._limited.discard(conn)
+
+
+class HangupTask(Cutter):
     """Looks at the sockets of callers that wait, and cancels for those that have closed."""
 
     def __init__(self) -> None:
-        super().__init__("hangup", SWEEP_S)
+        super().__init__("hangup")
         self._waiting: dict[CancelScope, tuple[socket.socket, Callable[[], None] | None]] = {}
 
     @contextmanager
@@ -125,6 +211,7 @@
 
     def step(self) -> None:
         """Cancel for every socket that its caller has closed, with one look at all of them."""
+        super().step()
         poll = select.poll()
         by_fd: dict[int, list[tuple[CancelScope, Callable[[], None] | None]]] = {}
         socks: dict[int, socket.socket] = {}
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -9,6 +9,7 @@
 
 from gypsumwind.direct import DirectDaemon, Feeds
 from gypsumwind.errors import SettingsError
+from gypsumwind.hangups import HangupTask
 from gypsumwind.log import end_logging, start_logging
 from gypsumwind.metrics import prometheus_text
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
@@ -47,9 +48,10 @@
 def _run(path: str, settings: PlatformSettings) -> None:
     stop_signals = StopSignals()
     cfg = settings.cfg
-    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip)
+    hangups = HangupTask()
+    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip, hangups)
     daemon = DirectDaemon(
-        cfg, settings.steering, HEADERS, read_load, _feeds(store), VmRegistry(store)
+        cfg, settings.steering, HEADERS, read_load, _feeds(store), VmRegistry(store), hangups
     )
     reload = ReloadTask(path, settings, daemon.apply)
     signal.signal(signal.SIGHUP, lambda *_: reload.ask())
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -9,6 +9,7 @@
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes
+from gypsumwind.hangups import Cutter
 from gypsumwind.log import Log
 from gypsumwind.stores import StoreCalls
 from gypsumwind.utils import wall
@@ -35,8 +36,8 @@
 class PlatformStore:
     """Calls to the store; StoreError tells whether a call may have been done."""
 
-    def __init__(self, url: str, timeout_s: float, ip: str) -> None:
-        self._calls = StoreCalls(url, timeout_s, ip, WAITING_OPTIONS)
+    def __init__(self, url: str, timeout_s: float, ip: str, cutter: Cutter | None = None) -> None:
+        self._calls = StoreCalls(url, timeout_s, ip, WAITING_OPTIONS, cutter)
 
     def read_all(self, kind: str) -> tuple[list[StoredObject], int]:
         """Return the objects of a kind and the revision that they are of, page after page."""
--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -20,7 +20,7 @@
 from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
-from gypsumwind.hangups import TrackedConnection, cancelled
+from gypsumwind.hangups import Cutter, TrackedPool, cancelled
 from gypsumwind.utils import monotonic
 
 POOL_CONNECTIONS = 64
@@ -56,17 +56,12 @@
         return self.pace(chunks) if self.pace else chunks
 
 
-class TrackedPool(urllib3.HTTPConnectionPool):
-    """A pool whose connections are cut when the request that they serve is cancelled."""
-
-    ConnectionCls = TrackedConnection
-
-
 class Sender:
     """Sends requests over pools of kept connections, one pool a target."""
 
-    def __init__(self, ip: str, connect_timeout_s: float) -> None:
+    def __init__(self, ip: str, connect_timeout_s: float, cutter: Cutter) -> None:
         self._ip = ip
+        self._cutter = cutter
         self._connect_timeout_s = connect_timeout_s
         self._pools: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
 
@@ -87,17 +82,18 @@
         if has_body and out.body.length is not None:
             headers["content-length"] = str(out.body.length)
         try:
-            response = pool.urlopen(
-                out.method,
-                out.path,
-                body=out.chunks() if has_body else None,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-                timeout=Timeout(connect=min(left, self._connect_timeout_s), read=left),
-            )
+            with self._cutter.until(out.deadline):
+                response = pool.urlopen(
+                    out.method,
+                    out.path,
+                    body=out.chunks() if has_body else None,
+                    headers=headers,
+                    retries=False,
+                    redirect=False,
+                    preload_content=False,
+                    decode_content=False,
+                    timeout=Timeout(connect=min(left, self._connect_timeout_s), read=left),
+                )
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise RequestError(
                 target.unreachable, f"{target.ip}:{target.port}: {exc}", Verdict.NOT_RUN, 503
@@ -107,6 +103,9 @@
                 Code.DEADLINE_EXCEEDED, f"no answer in time: {exc}", Verdict.MAY_HAVE_RUN, 504
             ) from exc
         except (HTTPError, OSError) as exc:
+            if monotonic() >= out.deadline:
+                text = f"no whole answer in time: {exc}"
+                raise RequestError(Code.DEADLINE_EXCEEDED, text, Verdict.MAY_HAVE_RUN, 504) from exc
             raise RequestError(
                 target.failed, f"{target.ip}:{target.port}: {exc}", Verdict.MAY_HAVE_RUN, 502
             ) from exc
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator, Mapping, Sequence
+from contextlib import nullcontext
 from dataclasses import dataclass
 from typing import Any, Protocol
 from urllib.parse import quote
@@ -11,6 +12,8 @@
 from urllib3.util import Timeout
 
 from gypsumwind.errors import Code, StoreError
+from gypsumwind.hangups import Cutter, TrackedPool
+from gypsumwind.utils import monotonic
 
 WATCH_MARGIN_S = 2.0
 PAGE_OBJECTS = 50
@@ -18,6 +21,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time limit of a connect; a store answers within some milliseconds."""
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bytes of an answer: a store tells about 1 MB in one."""
+
 SocketOptions = Sequence[tuple[int, int, int | bytes]]
 
 
@@ -89,7 +95,9 @@
         timeout_s: float,
         ip: str | None = None,
         socket_options: SocketOptions | None = None,
+        cutter: Cutter | None = None,
     ) -> None:
+        self._cutter = cutter
         self._url = url
         self._timeout_s = timeout_s
         options: dict[str, Any] = (
@@ -102,6 +110,7 @@
             source_address=(ip, 0) if ip else None,
             **options,
         )
+        self._pool.pool_classes_by_scheme = {"http": TrackedPool}
 
     def read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
         """Return the status and the document, None for a status without one.
@@ -109,11 +118,11 @@
         StoreError: STORE_UNAVAILABLE when no answer came, or one that is no document.
         """
         try:
-            answer = self._pool.request("GET", self._url + path, timeout=self._timeout(timeout_s))
-            doc = json.loads(answer.data) if answer.status in (200, 404) else None
+            status, data = self._call("GET", path, timeout_s)
+            doc = json.loads(data) if status in (200, 404) else None
         except (HTTPError, ValueError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
-        return answer.status, doc
+        return status, doc
 
     def write(
         self, method: str, path: str, doc: Any, headers: Mapping[str, str] | None = None
@@ -126,28 +135,48 @@
         body = None if doc is None else json.dumps(doc).encode()
         kind = {"Content-Type": "application/json"} if body else {}
         try:
-            answer = self._pool.request(
-                method,
-                self._url + path,
-                body=body,
-                headers={**kind, **(headers or {})},
-                timeout=self._timeout(None),
-            )
+            return self._call(method, path, None, body, {**kind, **(headers or {})})
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"{method} {path}: {exc}") from exc
         except HTTPError as exc:
             raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"{method} {path}: {exc}") from exc
-        return answer.status, answer.data
 
-    def _timeout(self, read_s: float | None) -> Timeout:
-        return Timeout(connect=CONNECT_TIMEOUT_S, read=read_s or self._timeout_s)
+    def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float | None,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Return status and body; HTTPError without a whole answer in time and of bounded size."""
+        read_s = timeout_s or self._timeout_s
+        timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
+        deadline = monotonic() + CONNECT_TIMEOUT_S + read_s
+        with self._cutter.until(deadline) if self._cutter else nullcontext():
+            answer = self._pool.request(
+                method,
+                self._url + path,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
+            )
+        data = answer.read(MAX_ANSWER_BYTES + 1)
+        if len(data) > MAX_ANSWER_BYTES:
+            answer.close()
+            raise HTTPError(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
+        answer.release_conn()
+        return answer.status, data
 
 
 class HttpStore:
     """The platform's store over HTTP."""
 
-    def __init__(self, url: str, timeout_s: float, ip: str | None = None) -> None:
-        self._calls = StoreCalls(url, timeout_s, ip)
+    def __init__(
+        self, url: str, timeout_s: float, ip: str | None = None, cutter: Cutter | None = None
+    ) -> None:
+        self._calls = StoreCalls(url, timeout_s, ip, cutter=cutter)
 
     def get(self, key: str) -> StoredObject | None:
         """Return an object, None if there is none."""
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,240 @@
+"""Answers of instances in trouble: bytes that are no answer, and come without end."""
+
+import random
+import socket
+import threading
+import time
+from contextlib import contextmanager, suppress
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumwind import stores
+from gypsumwind.calls import Body
+from gypsumwind.connections import Connections
+from gypsumwind.core.dispatch import MAX_PAUSE_S, Outcome
+from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import Code, RequestError, StoreError
+from gypsumwind.exchanges import Exchanger, Request, _pause_s
+from gypsumwind.framing import MAX_FRAMING_BYTES
+from gypsumwind.hangups import HangupTask
+from gypsumwind.platform.headers import HEADERS, read_load
+from gypsumwind.senders import Outgoing, Sender, Target
+from gypsumwind.stores import StoreCalls
+from gypsumwind.utils import monotonic
+
+DEADLINE_S = 0.6
+"""Deadline of the requests of this file, in seconds."""
+
+OK = b"HTTP/1.1 200 OK\r\nGypsumwind-Request-Id: r\r\nGypsumwind-Response-Signature: s\r\n"
+END = b"Content-Length: 0\r\n\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+REFUSAL = b"HTTP/1.1 503 Full\r\nGypsumwind-Not-Executed: 1\r\nGypsumwind-Request-Id: r\r\n"
+
+ENDLESS = {
+    "head": (OK + b"X-Long: ", b"x"),
+    "head of many lines": (OK, b"X-Line: x\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk's extension": (CHUNKED + b"5;", b"x"),
+    "trailers": (CHUNKED + b"2\r\nok\r\n0\r\n", b"X-Trailer: x\r\n"),
+    "bytes that are no answer": (b"", b"\x00\xff"),
+}
+
+
+@contextmanager
+def server(begin, more, pause_s):
+    """Answer each request with `begin`, then with `more` until the other side closes.
+
+    With None the connection is closed at once. Yields the address, and the times at which the
+    other side closed connections.
+    """
+    closed = []
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve(sock):
+        with sock, suppress(OSError):
+            sock.recv(65536)
+            sock.sendall(begin)
+            while more:
+                sock.sendall(more if pause_s else more * 1000)
+                time.sleep(pause_s)
+            if more is not None:
+                sock.recv(65536)
+        closed.append(time.monotonic())
+
+    def accept():
+        with suppress(OSError):
+            while True:
+                sock, _ = listener.accept()
+                threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    try:
+        yield listener.getsockname(), closed
+    finally:
+        listener.close()
+
+
+@pytest.fixture
+def hangups():
+    with HangupTask() as task:
+        yield task
+
+
+def send(hangups, place, repeatable=True):
+    exchanger = Exchanger(Connections("127.0.0.1"), HEADERS, read_load, hangups)
+    up = Upstream("i", 1, "s", place[0], place[1], "a1", 4)
+    body = Body(SimpleNamespace(read=lambda size: b""), 0)
+    deadline = monotonic() + DEADLINE_S
+    req = Request("r", "GET", "/", {"host": "h"}, body, deadline, repeatable)
+    return exchanger.send(up, req), deadline
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["flood", "trickle"])
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_answer_without_end_holds_its_reader_no_longer_than_the_deadline(hangups, kind, pause_s):
+    begin, more = ENDLESS[kind]
+    with server(begin, more, pause_s) as (place, closed):
+        sent, deadline = send(hangups, place)
+        ended = monotonic()
+        assert sent.answer is None and sent.error.verdict is Verdict.MAY_HAVE_RUN
+        assert sent.outcome == Outcome.CUT
+        wait_for(lambda: closed)
+    # Wide: what is told apart is an end by the deadline from one by chance.
+    assert ended < deadline + 5.0
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_lines_without_end_are_cut_off_at_their_bound(hangups, kind):
+    begin, more = ENDLESS[kind]
+    with server(begin + more * (2 * MAX_FRAMING_BYTES // len(more)), b"", 0.0) as (place, _):
+        sent, _ = send(hangups, place)
+        assert sent.outcome == Outcome.CUT and sent.error.code is Code.UPSTREAM_FAILED
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["flood", "trickle"])
+@pytest.mark.parametrize("head", [b"\r\n", b"Content-Length: 9999\r\n\r\n"], ids=["open", "long"])
+def test_refusal_counts_at_once_whatever_its_body(hangups, head, pause_s):
+    with server(REFUSAL + head, b"x", pause_s) as (place, closed):
+        sent, deadline = send(hangups, place)
+        assert sent.outcome == Outcome.SHED and sent.error.verdict is Verdict.NOT_RUN
+        assert monotonic() < deadline
+        wait_for(lambda: closed)
+
+
+def test_refusal_whose_body_does_not_come_counts_all_the_same(hangups):
+    with server(REFUSAL + b"Content-Length: 9\r\n\r\n", b"", 0.0) as (place, closed):
+        sent, _ = send(hangups, place)
+        assert sent.outcome == Outcome.SHED and sent.error.verdict is Verdict.NOT_RUN
+        wait_for(lambda: closed)
+
+
+@pytest.mark.parametrize("cut_at", range(len(OK) + 1, len(OK + END), 4))
+def test_answer_cut_within_its_head_is_not_whole(hangups, cut_at):
+    """The signature has come by then; without a length an answer may end with its connection."""
+    with server((OK + END)[:cut_at], None, 0.0) as (place, _):
+        sent, _ = send(hangups, place)
+        assert sent.outcome == Outcome.CUT and sent.answer is None
+
+
+def test_silent_instance_is_late_and_not_at_fault(hangups):
+    with server(b"", b"", 0.0) as (place, _):
+        assert send(hangups, place)[0].outcome == Outcome.LATE
+
+
+def test_answer_in_small_chunks_is_whole_though_their_sizes_add_up(hangups):
+    chunks = b"".join(b"8\r\n12345678\r\n" for _ in range(15_000))
+    with server(CHUNKED + chunks + b"0\r\n\r\n", b"", 0.0) as (place, _):
+        sent, _ = send(hangups, place)
+        assert sent.outcome == Outcome.OK
+        assert b"".join(sent.answer.chunks) == b"12345678" * 15_000
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_owned_way_is_held_no_longer_either(hangups, kind, repeatable):
+    begin, more = ENDLESS[kind]
+    with server(begin, more, 0.02) as (place, closed):
+        target = Target(*place, Code.UPSTREAM_UNREACHABLE, Code.UPSTREAM_FAILED)
+        body = Body(SimpleNamespace(read=lambda size: b""), 0)
+        out = Outgoing("GET", "/", {"host": "h"}, body, monotonic() + DEADLINE_S, repeatable)
+        with pytest.raises(RequestError) as failed:
+            answer = Sender("127.0.0.1", 1.0, hangups).send(target, out)
+            with answer_ends(answer):
+                b"".join(answer.chunks)
+        assert failed.value.verdict is Verdict.MAY_HAVE_RUN
+        assert monotonic() < out.deadline + 5.0
+        wait_for(lambda: closed)
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+@pytest.mark.parametrize("write", [False, True], ids=["read", "write"])
+def test_call_to_the_store_is_held_no_longer_than_its_time(hangups, kind, write):
+    begin, more = ENDLESS[kind]
+    with server(begin, more, 0.02) as ((ip, port), closed):
+        calls = StoreCalls(f"http://{ip}:{port}", 0.3, cutter=hangups)
+        with pytest.raises(StoreError) as failed:
+            if write:
+                calls.write("PUT", "/objects/x", {})
+            else:
+                calls.read("/objects/x")
+        code = Code.STORE_OUTCOME_UNKNOWN if write else Code.STORE_UNAVAILABLE
+        assert failed.value.code is code
+        wait_for(lambda: closed)
+
+
+def test_answer_of_the_store_is_bounded_in_bytes(hangups, monkeypatch):
+    monkeypatch.setattr(stores, "MAX_ANSWER_BYTES", 1_000_000)
+    with server(OK + b"\r\n[", b"1,", 0.0) as ((ip, port), closed):
+        with pytest.raises(StoreError):
+            StoreCalls(f"http://{ip}:{port}", 30.0, cutter=hangups).read("/objects/x")
+        wait_for(lambda: closed)
+
+
+@contextmanager
+def answer_ends(answer):
+    try:
+        yield
+    finally:
+        answer.end(False)
+
+
+def wait_for(check):
+    """The connection is closed, so that the instance can stop."""
+    until = time.monotonic() + 10
+    while not check() and time.monotonic() < until:
+        time.sleep(0.02)
+    assert check()
+
+
+LEAVING = b"Server-Leaving: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "leaving"),
+    [
+        (OK + LEAVING + END, True),
+        (REFUSAL + LEAVING + END, True),
+        (OK + b"Server-Leaving: 0\r\n" + END, False),
+        (OK.replace(b": r", b": another") + LEAVING + END, False),
+        (b"HTTP/1.1 421 Misdirected\r\n" + LEAVING + END, False),
+    ],
+    ids=["answer", "refusal", "no", "another request's", "another instance's"],
+)
+def test_instance_leaves_on_its_own_word_only(hangups, answer, leaving):
+    with server(answer, b"", 0.0) as (place, _):
+        assert send(hangups, place)[0].leaving is leaving
+
+
+@given(text=st.text(max_size=20) | st.floats().map(str) | st.integers().map(str))
+def test_any_time_to_come_back_is_bounded(text):
+    assert 0.0 <= _pause_s(Upstream("i", 1, "s", "127.0.0.1", 1, "a1", 4), text) <= MAX_PAUSE_S
+
+
+def test_time_to_come_back_may_have_fractions():
+    up = Upstream("i", 1, "s", "127.0.0.1", 1, "a1", 4)
+    seconds = round(random.Random(1).random(), 3)
+    assert _pause_s(up, str(seconds)) == seconds
