--- a/gypsumwind/actors.py
+++ b/gypsumwind/actors.py
@@ -4,10 +4,15 @@
 
 import pykka
 
+from gypsumwind import messages as msg
 from gypsumwind.log import Log
+from gypsumwind.tasks import Task
 
 log = Log("actors")
 
+TICK_S = 0.1
+"""Period in which actors look at their timers, in seconds."""
+
 
 class Actor(pykka.ThreadingActor):
     """An actor that outlives its errors: all of the process waits for it.
@@ -27,3 +32,16 @@
     def handle(self, message: Any) -> Any:
         """Handle a message and return what its sender may have asked for."""
         raise NotImplementedError
+
+
+class TickTask(Task):
+    """Sends Tick to the actors."""
+
+    def __init__(self, actors: list[pykka.ActorRef]) -> None:
+        super().__init__("tick", TICK_S)
+        self._actors = actors
+
+    def step(self) -> None:
+        """Tell every actor that time has passed."""
+        for actor in self._actors:
+            actor.tell(msg.Tick())
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -9,6 +9,7 @@
 import pykka
 
 from gypsumwind import messages as msg
+from gypsumwind.actors import TickTask
 from gypsumwind.board import Board
 from gypsumwind.claims import KeyClaims
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
@@ -40,23 +41,9 @@
 
 log = Log("daemon")
 
-TICK_S = 0.1
 POLL_S = 0.1
 
 
-class TickTask(Task):
-    """Sends Tick to the actors."""
-
-    def __init__(self, actors: list[pykka.ActorRef]) -> None:
-        super().__init__("tick", TICK_S)
-        self._actors = actors
-
-    def step(self) -> None:
-        """Tell every actor that time has passed."""
-        for actor in self._actors:
-            actor.tell(msg.Tick())
-
-
 class DrainTask(Task):
     """Follows the places document: a VM that it lists as draining leaves, and may come back."""
 
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -12,6 +12,7 @@
 import pykka
 
 from gypsumwind import messages as msg
+from gypsumwind.actors import TickTask
 from gypsumwind.board import Board
 from gypsumwind.connections import Connections
 from gypsumwind.core.departures import Departure
@@ -21,7 +22,6 @@
 from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
 from gypsumwind.core.stops import Phase, Stop
 from gypsumwind.core.upstreams import UpstreamList, upstream_from_json, upstreams_to_json
-from gypsumwind.daemon import TickTask
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.exchanges import Exchanger
 from gypsumwind.feeds import Feed, FeedTask, Publish
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -8,9 +8,8 @@
 
 import pykka
 from thriftpy2.protocol import TBinaryProtocol, TBinaryProtocolFactory
-from thriftpy2.rpc import TClient
 from thriftpy2.server import TThreadedServer
-from thriftpy2.thrift import TProcessor
+from thriftpy2.thrift import TClient, TProcessor
 from thriftpy2.transport import (
     TFramedTransport,
     TFramedTransportFactory,
