Owned way: an answer names its attempt, or its connection is used once

Cause: a second copy of an answer that came late, on a connection in use again, was taken for the next request's answer: nothing told them apart. Ruled out: the look for bytes on an idle connection, which a copy that comes with the next request passes.

--- a/gypsumwind/gates.py
+++ b/gypsumwind/gates.py
@@ -143,7 +143,7 @@
         try:
             if monotonic() >= self._board.fence_until:
                 raise self._no_capacity(Reason.LAPSED)
-            answer = self._sender.send(_target(permit), self._outgoing(call))
+            answer = self._sender.send(_target(permit), self._outgoing(call, permit.attempt))
         except RequestError as exc:
             self._finish(permit, _result_of(exc), started)
             raise
@@ -175,7 +175,7 @@
         answer.on_end.append(finish)
         return answer
 
-    def _outgoing(self, call: Call) -> Outgoing:
+    def _outgoing(self, call: Call, attempt: str) -> Outgoing:
         headers = call.hop_headers("upstream")
         return Outgoing(
             method=call.method,
@@ -184,6 +184,7 @@
             body=call.body,
             deadline=call.deadline,
             repeatable=call.method in self._row(call).repeatable,
+            attempt=attempt,
         )
 
     def _row(self, call: Call) -> Row:
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -79,13 +79,15 @@
 class TrackedConnection(HTTPConnection):
     """A connection that knows for which scope it is in use, and until when; a pool may pass it on.
 
-    `expired` tells that it was cut as its time was over, `heard` the bytes of the last answer.
+    `expired` tells that it was cut as its time was over, `heard` the bytes of the last answer. A
+    pool keeps it only while it is `reusable`.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.response_class = self._bounded  # type: ignore[assignment]
         self.expired = False
+        self.reusable = True
         self.deadline: float | None = None
         self._reader: BoundedReader | None = None
         self._scope: CancelScope | None = None
@@ -105,6 +107,7 @@
         """Send a request for the scope of the running thread, within its time limit."""
         scope, limit = _scope.get(), _limit.get()
         self._reader = None
+        self.reusable = True
         with self._scope_lock:
             self._scope = scope
             self.deadline = limit[1] if limit else None
@@ -150,6 +153,8 @@
         """Take back a connection whose answer was read to its end, or that was closed."""
         if conn is not None:
             conn.rest()
+            if not conn.reusable:
+                conn.close()
         super()._put_conn(conn)
 
 
--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -1,7 +1,8 @@
 """Sending over HTTP to upstreams and to other VMs: one answer for one request, or an error.
 
 A connection whose answer was not read to its end is closed, never used again, so that no late
-answer can reach another request.
+answer can reach another request. Nor is one of an upstream that does not name the attempt that it
+answers: a second copy of an answer, sent late, could not be told from the next one.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -17,10 +18,10 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import Timeout
 
-from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
+from gypsumwind.calls import CHUNK_BYTES, H_ATTEMPT, HOP_BY_HOP, Answer, Body
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
-from gypsumwind.hangups import Cutter, TrackedPool, cancelled
+from gypsumwind.hangups import Cutter, TrackedConnection, TrackedPool, cancelled
 from gypsumwind.utils import monotonic
 
 POOL_CONNECTIONS = 64
@@ -40,7 +41,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Outgoing:
-    """A request to send; `repeatable` ones may use a kept connection, `pace` slows the body."""
+    """A request to send; `repeatable` ones may use a kept connection, `pace` slows the body.
+
+    An answer must be to the `attempt`, if one is given, and may say so in a header.
+    """
 
     method: str
     path: str
@@ -49,6 +53,7 @@
     deadline: float
     repeatable: bool
     pace: Callable[[Iterator[bytes]], Iterator[bytes]] | None = None
+    attempt: str = ""
 
     def chunks(self) -> Iterator[bytes]:
         """Return the body at the pace that is set."""
@@ -81,6 +86,8 @@
         has_body = out.body.length != 0
         if has_body and out.body.length is not None:
             headers["content-length"] = str(out.body.length)
+        if out.attempt:
+            headers[H_ATTEMPT] = out.attempt
         try:
             with self._cutter.until(out.deadline):
                 response = pool.urlopen(
@@ -109,6 +116,7 @@
             raise RequestError(
                 target.failed, f"{target.ip}:{target.port}: {exc}", Verdict.MAY_HAVE_RUN, 502
             ) from exc
+        _correlate(response, target, out)
         return _answer(response, target, out)
 
     def _pool(self, target: Target) -> urllib3.HTTPConnectionPool:
@@ -124,6 +132,19 @@
         )
 
 
+def _correlate(response: BaseHTTPResponse, target: Target, out: Outgoing) -> None:
+    """Refuse the answer to another attempt; use the connection once if the answer names none."""
+    answered = response.headers.get(H_ATTEMPT, "")
+    if not out.attempt or answered == out.attempt:
+        return
+    if answered:
+        response.close()
+        text = f"{target.ip}:{target.port}: the answer is to attempt {answered}"
+        raise RequestError(target.failed, text, Verdict.MAY_HAVE_RUN, 502)
+    if isinstance(response.connection, TrackedConnection):
+        response.connection.reusable = False
+
+
 def _answer(response: BaseHTTPResponse, target: Target, out: Outgoing) -> Answer:
     length = _length(response, out.method)
     framed = length is not None or "chunked" in response.headers.get("transfer-encoding", "")
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -97,6 +97,7 @@
         self.mode = "ok"
         self.health = "ok"
         self.frozen_load = None
+        self.echoes_attempt = True
         self.cold_until = 0.0
         self.extra_ms = 0
         self.rng = random.Random(name)
@@ -211,6 +212,8 @@
         self.send_header("X-Body-Hash", digest)
         self.send_header("X-Answer-Hash", hashlib.sha256(data).hexdigest())
         self.send_header("X-Echo", echo)
+        if up.echoes_attempt:
+            self.send_header("Gypsumwind-Attempt", self.headers.get("gypsumwind-attempt", ""))
         if up.health == "draining":
             self.send_header("Upstream-Draining", "true")
         self.end_headers()
