Malformed lists of the store are errors of the store, and a list that never ends ends

Found by a fuzz of all that comes from outside (tests/platform/test_fuzz.py): a list without items, at or hasMore raised KeyError out of the feed's step, and a store that says hasMore with the same page again was read for ever (a test run of ours hung for ten minutes in it). Now StoreError, and 1,000 pages at most. Ruled out: configurations, entries, loads, datagrams and settings, whose decoders held.

--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -19,6 +19,9 @@
 WATCH_MARGIN_S = 3.0
 """Time beyond the wait of a watch after which the connection counts as silent."""
 
+MAX_PAGES = 1000
+"""Pages of one list; a page holds some 500 objects, and a list that never ends must end here."""
+
 MAX_WAIT_S = 25.0
 """Longest wait of a watch; the platform allows 30 s."""
 
@@ -43,15 +46,16 @@
         """Return the objects of a kind and the revision that they are of, page after page."""
         found: list[StoredObject] = []
         after, revision = "", None
-        while True:
+        for _ in range(MAX_PAGES):
             doc = self._read(kind, {"after": after} if after else {})
-            page = _objects(doc["items"])
+            page = _objects(doc.get("items"))
             found.extend(page)
             # Changes between two pages are seen again by a watch from the first page's revision.
-            revision = int(doc["at"]) if revision is None else revision
-            if not doc["hasMore"] or not page:
+            revision = _revision(doc) if revision is None else revision
+            if not doc.get("hasMore") or not page:
                 return found, revision
             after = page[-1].name
+        raise StoreError(Code.STORE_UNAVAILABLE, f"list of {kind}: more than {MAX_PAGES} pages")
 
     def watch(
         self, kind: str, after: int, wait_s: float
@@ -63,7 +67,7 @@
         )
         try:
             events = [(_object(e["object"]), bool(e["removed"])) for e in doc["events"]]
-            return events, int(doc["at"])
+            return events, _revision(doc)
         except (KeyError, TypeError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"watch of {kind}: {exc!r}") from exc
 
@@ -99,10 +103,18 @@
         return StoredObject(
             str(meta["name"]), int(meta["revision"]), doc.get("spec"), doc.get("status")
         )
-    except (KeyError, TypeError, AttributeError, ValueError) as exc:
+    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as exc:
         raise StoreError(Code.STORE_UNAVAILABLE, f"object from the store: {exc!r}") from exc
 
 
+def _revision(doc: Mapping[str, Any]) -> int:
+    """Return the store's revision that an answer is of."""
+    try:
+        return int(doc["at"])
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
+        raise StoreError(Code.STORE_UNAVAILABLE, f"revision of an answer: {exc!r}") from exc
+
+
 def _objects(items: Any) -> list[StoredObject]:
     if not isinstance(items, list):
         raise StoreError(Code.STORE_UNAVAILABLE, "the store's list has no items")
--- /dev/null
+++ b/tests/platform/test_fuzz.py
@@ -0,0 +1,149 @@
+"""Whatever comes from outside, a decoder returns a value or raises the error its caller expects."""
+
+import copy
+from dataclasses import asdict
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumwind.core.membership import Ack, Endpoint, Member, Probe, State
+from gypsumwind.core.rules import ruleset_from_json, ruleset_to_json
+from gypsumwind.core.upstreams import upstream_from_json
+from gypsumwind.errors import SettingsError, StoreError
+from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
+from gypsumwind.platform.headers import read_load
+from gypsumwind.platform.settings import read_platform_settings
+from gypsumwind.platform.store import KindFeed, PlatformStore
+from gypsumwind.wire import datagram_from_bytes, datagram_to_bytes
+from tests.standins.platform import CONFIG, server_entry, settings_lines
+
+JUNK = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from(["", "127.0.0.1:1", "127.0.0.1:99999", "ready", "safe"]),
+    lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=4,
+)
+ENTRY = server_entry("127.0.0.1:80")
+OBJECT = {"metadata": {"name": "i-1", "revision": 3}, **ENTRY}
+
+
+def places(doc, path=()):
+    """Return the paths to all parts of a document."""
+    inner = (
+        doc.items() if isinstance(doc, dict) else enumerate(doc if isinstance(doc, list) else ())
+    )
+    return [path, *(place for key, value in inner for place in places(value, (*path, key)))]
+
+
+@st.composite
+def broken(draw, doc):
+    """Return the document with junk in up to three places, or without a part."""
+    made = copy.deepcopy(doc)
+    for _ in range(draw(st.integers(1, 3))):
+        path = draw(st.sampled_from(places(made)))
+        if not path:
+            return draw(JUNK)
+        part = made
+        for key in path[:-1]:
+            part = part[key]
+        if draw(st.booleans()):
+            part[path[-1]] = draw(JUNK)
+        else:
+            del part[path[-1]]
+    return made
+
+
+@given(spec=broken(CONFIG))
+def test_configuration(spec):
+    try:
+        rules = decode_ruleset(spec)
+    except ValueError:
+        return
+    assert ruleset_from_json(ruleset_to_json(rules)) == rules
+
+
+@given(entry=broken(ENTRY))
+def test_entry_of_an_instance(entry):
+    try:
+        up = decode_upstream("i-1", entry, 1000.0)
+    except ValueError:
+        return
+    assert upstream_from_json(asdict(up)) == up
+
+
+@given(text=st.text(max_size=12) | st.from_regex(r"[0-9]{1,3},[0-9]{1,3},[0-9]{1,3}"))
+def test_load(text):
+    report = read_load(text)
+    assert report is None or min(report.running, report.waiting, report.slots) >= 0
+
+
+class Calls:
+    """Stands in for calls to the store: answers with one document."""
+
+    def __init__(self, doc):
+        self.doc = doc
+
+    def read(self, path, timeout_s=None):
+        return 200, self.doc
+
+
+def feed(doc):
+    store = PlatformStore("http://127.0.0.1:1", 1.0, "127.0.0.1")
+    store._calls = Calls(doc)
+    decode = lambda obj, epoch: decode_upstream(  # noqa: E731
+        obj.name, {"spec": obj.spec, "status": obj.status}, epoch
+    )
+    return KindFeed(store, "servers", decode)
+
+
+@given(doc=broken({"items": [OBJECT], "hasMore": False, "at": 9}))
+def test_list_of_the_store(doc):
+    try:
+        feed(doc).read()
+    except StoreError:
+        return
+
+
+@given(doc=broken({"events": [{"object": OBJECT, "removed": False}], "at": 9}))
+def test_watch_of_the_store(doc):
+    try:
+        feed(doc).changes(3, 0.1)
+    except StoreError:
+        return
+
+
+@given(data=st.binary(max_size=80))
+def test_datagram_of_any_bytes(data):
+    try:
+        datagram_from_bytes(data)
+    except ValueError:
+        return
+
+
+@given(cut=st.integers(0, 300), at=st.integers(0, 300), byte=st.integers(0, 255))
+def test_datagram_that_is_cut_or_has_another_byte(cut, at, byte):
+    me = Member("vm-1", "a1", Endpoint("127.0.0.1", 1, 2, 3), 5, State.ALIVE)
+    for message in (Probe(7, me, (me, me), me.endpoint), Ack(7, me, ())):
+        data = bytearray(datagram_to_bytes(message))
+        data[at % len(data)] = byte
+        try:
+            datagram_from_bytes(bytes(data[: cut or len(data)]))
+        except ValueError:
+            continue
+
+
+@given(drop=st.integers(0, 60), line=st.text(max_size=30), at=st.integers(0, 60))
+def test_settings_file(tmp_path_factory, drop, line, at):
+    lines = settings_lines("vm-1", "127.0.0.1")
+    lines[drop % len(lines)] = line
+    lines[at % len(lines)] = lines[at % len(lines)].partition("=")[0] + "=" + line
+    path = tmp_path_factory.getbasetemp() / "fuzz.conf"
+    path.write_text("\n".join(lines), encoding="utf-8", errors="replace")
+    try:
+        read_platform_settings(str(path))
+    except SettingsError as exc:
+        assert exc.message
