A refusal behind a queue tells the queue's time again

Cause: since requests wait for the end of a pause, a request that is too late for any instance was refused as if there were none, with a tenth of a second to come back whatever the queue. Test: test_refusal_behind_a_queue_tells_the_time_of_the_queue…, failed before.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -515,7 +515,7 @@
     def _wait(self, state: _ServiceState, wanted: Wanted, now: float) -> Refused | None:
         """Queue a request if it can be served in time, by its objective or by its deadline."""
         opens_at = self._opens_at(wanted, now)
-        if opens_at + state.work_s >= wanted.deadline:
+        if opens_at > now and opens_at + state.work_s >= wanted.deadline:
             known = opens_at < math.inf
             return Refused("no-upstream", self._retry_s(opens_at - now if known else state.work_s))
         rate = self._rate(state, wanted, now)
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -299,6 +299,14 @@
     assert [d.upstream.id for _, d in made.drain(3.0)] == ["i2"]
 
 
+def test_refusal_behind_a_queue_tells_the_time_of_the_queue_and_not_that_of_the_instances():
+    made = dispatcher([upstream("i1", slots=1)])
+    waiting = [made.place(wanted(n, deadline=1000.0), 0.0) for n in range(40)]
+    assert waiting.count(None) == 38
+    refused = made.place(wanted(99, deadline=0.3), 0.0)
+    assert (refused.reason, refused.retry_after_s > 1.0) == ("queue-too-long", True)
+
+
 def play_sheds(shedding, rounds=400):
     """Play requests on eight instances, some of which shed half of what comes; count the sends.
 
