An instance that answers nothing in time, alone among its peers, is left out

Ruled out: too long a wait in the VM's queue (31 of 685 late sends). Change: a send that had twice the mean time of its service and got no answer counts as a failure, with the margin over the service's own share as before, so that instances slow alike are all used. Tests play eight instances of which one is slow; failed before.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -158,6 +158,7 @@
     OK = "ok"
     FAILED = "failed"
     SHED = "shed"
+    SLOW = "slow"
     CUT = "cut"
     UNREACHABLE = "unreachable"
     MISDIRECTED = "misdirected"
@@ -168,6 +169,13 @@
 NO_EVIDENCE = frozenset((Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE))
 """Outcomes that tell nothing of an instance's health."""
 
+SLOW_WORK = 2.0
+"""Mean times of a request after which an instance that has not answered counts as failing.
+
+A send that had less time tells nothing. All instances may be slow alike, under load or while their
+objects are cold: one is left out only if it fails well more often than its service (EJECT_MARGIN).
+"""
+
 
 @dataclass(slots=True, frozen=True)
 class ReportedLoad:
@@ -417,6 +425,8 @@
         if report is not None:
             lane.hear(report, now)
         state = self._state(upstream.service)
+        if outcome == Outcome.LATE and seconds >= SLOW_WORK * state.work_s:
+            outcome = Outcome.SLOW
         state.observe(outcome)
         lane.observe(outcome, state.failures, now)
         if outcome == Outcome.MISDIRECTED:
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -307,6 +307,50 @@
     assert (refused.reason, refused.retry_after_s > 1.0) == ("queue-too-long", True)
 
 
+def play_slow(slow, timeout_s=1.2, rounds=600):
+    """Play requests on eight instances, some of which answer nothing in time; count those late."""
+    made = dispatcher([upstream(f"i{n}") for n in range(8)])
+    late = sent = 0
+    running = []
+    for n in range(rounds):
+        now = n * 0.02
+        for ends, placed, outcome, seconds in [r for r in running if r[0] <= now]:
+            made.finish(placed.upstream, outcome, None, seconds, ends)
+        running = [r for r in running if r[0] > now]
+        placed = made.place(wanted(n, f"k{n % 40}", deadline=now + timeout_s), now)
+        if isinstance(placed, Placed):
+            is_late = placed.upstream.id in slow
+            seconds = timeout_s if is_late else 0.2
+            outcome = Outcome.LATE if is_late else Outcome.OK
+            running.append((now + seconds, placed, outcome, seconds))
+            late, sent = late + is_late, sent + 1
+        else:
+            made.cancel(n)
+    return late, sent
+
+
+def test_instance_that_answers_nothing_in_time_is_left_out_though_it_fails_no_request():
+    """A slow instance keeps its slots busy: its callers time out, and must not be sent again."""
+    late, sent = play_slow({"i1"})
+    assert sent > 550 and late < sent / 8 / 2
+
+
+def test_instances_that_are_slow_alike_are_all_used():
+    made = dispatcher([upstream(f"i{n}", slots=99) for n in range(4)])
+    for n in range(200):
+        now = n * 0.02
+        placed = made.place(wanted(n, f"k{n % 40}", deadline=now + 9), now)
+        made.finish(placed.upstream, Outcome.LATE, None, 1.2, now + 0.01)
+    assert not [lane for lane in made.lanes.values() if lane.ejected_until > 4.0]
+
+
+def test_send_that_had_little_time_tells_nothing_of_its_instance():
+    made = dispatcher([upstream("i1"), upstream("i2")])
+    for _ in range(20):
+        made.finish(upstream("i1"), Outcome.LATE, None, 0.1, 0.0)
+    assert made.lanes["i1"].failures == 0.0
+
+
 def play_sheds(shedding, rounds=400):
     """Play requests on eight instances, some of which shed half of what comes; count the sends.
 
