A connection that was cut at its deadline once is cut again

Cause: a pool opens a connection again whose answer was cut in its body, and the mark of that cut was never taken back, so the cutter forgot the connection at its first look: a second answer without end held its thread for good. Found by reading the change; on the owned way and at the store, not towards instances of the direct way, whose cut connections are not used again. Change: each request begins unmarked. Test: test_connection_that_was_cut_once_is_cut_again, which hung before.

--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -109,6 +109,7 @@
         self._reader = None
         self.reusable = True
         with self._scope_lock:
+            self.expired = False
             self._scope = scope
             self.deadline = limit[1] if limit else None
         if scope is not None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -186,6 +186,17 @@
         wait_for(lambda: closed)
 
 
+def test_connection_that_was_cut_once_is_cut_again(hangups):
+    """A pool opens a connection again that was cut; its next request has a deadline, too."""
+    begin, more = ENDLESS["chunk's extension"]
+    with server(begin, more, 0.02) as ((ip, port), closed):
+        calls = StoreCalls(f"http://{ip}:{port}", 0.3, cutter=hangups)
+        for count in (1, 2, 3):
+            with pytest.raises(StoreError):
+                calls.read("/objects/x")
+            wait_for(lambda count=count: len(closed) >= count)
+
+
 def test_answer_of_the_store_is_bounded_in_bytes(hangups, monkeypatch):
     monkeypatch.setattr(stores, "MAX_ANSWER_BYTES", 1_000_000)
     with server(OK + b"\r\n[", b"1,", 0.0) as ((ip, port), closed):
