--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -91,7 +91,7 @@
 """
 
 MAX_PAUSE_S = 60.0
-"""Longest time for which an instance is left alone on its own word; it may say so again."""
+"""Longest pause of an instance, in seconds; it may ask for another."""
 
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
@@ -443,7 +443,7 @@
             lane.leave_out(now + LEAVING_S)
 
     def hear_departure(self, name: str, incarnation: int) -> bool:
-        """An instance leaves on its own word, heard here or by another VM; tell if it is news."""
+        """An answer, here or at another VM, said that an instance leaves; tell if it is news."""
         if not self._departures.add(name, incarnation):
             return False
         lane = self._known(name)
@@ -453,7 +453,7 @@
         return True
 
     def hear_pause(self, upstream: Upstream, seconds: float, now: float) -> None:
-        """An instance wants nothing from this VM for so long."""
+        """An instance asks for a pause of so many seconds."""
         lane = self._known(upstream.id)
         if lane is not None and lane.upstream.incarnation == upstream.incarnation:
             lane.paused_until = max(lane.paused_until, now + min(MAX_PAUSE_S, seconds))
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -63,7 +63,7 @@
     """How a send ended: an answer that may go to the caller, or an error with its verdict.
 
     `closing` tells that the answer closed its connection, `leaving` that the instance stops soon,
-    and `pause_s` for how long it wants nothing.
+    and `pause_s` the pause that it asks for, in seconds.
     """
 
     outcome: str
@@ -288,7 +288,7 @@
 
 
 def _pause_s(up: Upstream, text: str) -> float:
-    """Return the seconds for which an instance wants nothing; 0 if they cannot be read."""
+    """Return the pause that an instance asks for, in seconds; 0 if it cannot be read."""
     try:
         seconds = float(text)
     except ValueError:
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -347,7 +347,7 @@
 class SendEnded:
     """To the dispatch actor: a send ended so, after so many seconds, and told this load.
 
-    The instance says that it leaves (`leaving`), and for how long it wants nothing (`pause_s`).
+    The instance says that it leaves (`leaving`), and asks for a pause (`pause_s`, seconds).
     """
 
     upstream: Upstream
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -271,7 +271,7 @@
     assert not [d for _, d in made.drain(0.1) if isinstance(d, Placed)]
 
 
-def test_instance_gets_nothing_while_it_wants_nothing():
+def test_instance_gets_nothing_during_its_pause():
     made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
     made.hear_pause(upstream("i1"), 2.0, 0.0)
     assert served_at(made, 1.9) == {"i2"}
@@ -287,7 +287,7 @@
     assert served_at(made, 2.0 + MAX_PAUSE_S) == {"i1", "i2"}
 
 
-def test_callers_of_a_service_that_wants_nothing_are_told_when_it_does():
+def test_callers_of_a_service_whose_instances_pause_are_told_when_it_ends():
     made = dispatcher([upstream("i1", slots=99), upstream("i2", slots=99)])
     made.hear_pause(upstream("i1"), 4.0, 0.0)
     made.hear_pause(upstream("i2"), 3.0, 0.0)
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -78,7 +78,7 @@
     until(lambda: fleet.send(one, request="r-9") and len(home.asked) > count, text="new start")
 
 
-def test_instance_that_wants_nothing_for_a_while_gets_nothing(fleet):
+def test_instance_that_asks_for_a_pause_gets_nothing(fleet):
     vm = first(fleet)
     home = fleet.instances[fleet.send(vm, request="r-0").data.split()[0].decode()]
     home.mode, home.headers = "shed", {"Retry-After": "2.5"}
@@ -90,7 +90,7 @@
     until(lambda: fleet.send(vm, request="r-9") and len(home.asked) > count, text="used again")
 
 
-def test_caller_is_told_when_instances_that_want_nothing_take_requests_again(fleet):
+def test_caller_is_told_when_instances_that_pause_take_requests_again(fleet):
     vm = first(fleet)
     fleet.set_instances(mode="shed", headers={"Retry-After": "3.5"})
     fleet.send(vm, request="r-1")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -235,7 +235,7 @@
     ],
     ids=["answer", "refusal", "no", "another request's", "another instance's"],
 )
-def test_instance_leaves_on_its_own_word_only(hangups, answer, leaving):
+def test_instance_leaves_only_if_its_own_answer_says_so(hangups, answer, leaving):
     with server(answer, b"", 0.0) as (place, _):
         assert send(hangups, place)[0].leaving is leaving
 
