First calls for changes at the store end soon

Ruled out: membership (VMs knew each other after a second), the age bound itself. Change: the first wait after coming to the store is 1 s, doubled from call to call up to 20 s. Test: first calls end soon; failed before (waits of 20 s).

--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -30,6 +30,11 @@
 """Longest wait of a delegate's call to the store, in a zone with relays: half a second passes
 before the next, so its age stays under a second."""
 
+FIRST_WAIT_S = 1.0
+"""Longest wait of the first call for changes after a VM has come to the store, doubled from call to
+call: VMs that start together do not know yet whom to follow, and a delegate's age counts from its
+last answer."""
+
 RELAY_STEP_S = 0.25
 """The same of a relay's call to a delegate: with the half second before the next one, the age that
 a relay hands on stays under 1.75 s of `RELAY_AGE_S`."""
@@ -95,6 +100,7 @@
         self._cursor = (0, 0)
         self._listed: dict[str, Any] = {}
         self._lost = False
+        self._longest_wait_s = FIRST_WAIT_S
 
     def read(self) -> Changes:
         """Return the whole list."""
@@ -160,8 +166,10 @@
             if whole:
                 found = self._own.read()
                 self._use(self._zone.vm)
+                self._longest_wait_s = FIRST_WAIT_S
             else:
-                found = self._own.changes(after, wait_s)
+                found = self._own.changes(after, min(wait_s, self._longest_wait_s))
+                self._longest_wait_s = min(WAIT_S, 2 * self._longest_wait_s)
         except StoreError as exc:
             self._lost |= exc.code is not Code.STORE_HISTORY_GONE
             raise
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -22,6 +22,7 @@
     RELAY_STEP_S,
     SKIP_S,
     RelayedFeed,
+    Role,
     Zone,
 )
 from gypsumwind.peers import PeerError
@@ -288,6 +289,21 @@
     assert news.age_s > RELAY_AGE_S and news.values == {"a": [1]}
 
 
+def test_first_calls_for_changes_end_soon_so_that_vms_that_start_together_find_each_other(clock):
+    """Nobody knows another VM yet, so each follows the store, also for what changes rarely."""
+    fleet = FakeFleet()
+    vm = fleet.vms[fleet.follower]
+    known, vm.zone.role = vm.zone.role, lambda: Role({}, relay=False, large=False, followed=False)
+    waits = []
+    for _ in range(8):
+        vm.task.step()
+        waits.append(fleet.store.waited_s)
+    assert waits[1:4] == [1.0, 2.0, 4.0] and waits[-1] == feeds.WAIT_S
+    vm.zone.role = known
+    fleet.step(*fleet.delegates, fleet.follower)
+    assert fleet.asked
+
+
 def test_removed_names_beyond_what_a_log_keeps_are_told_by_the_whole_list(clock, monkeypatch):
     monkeypatch.setattr(relays, "MAX_REMOVED", 3)
     made = RelayLog(7)
