--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -8,6 +8,7 @@
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
+from gypsumwind.core.restores import Closures
 from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.rules import Ruleset
 from gypsumwind.core.table import Places
@@ -129,6 +130,6 @@
         self.leaving = False
         self.rules: Ruleset | None = None
         self.upstreams = UpstreamList()
-        self.closed_zones: frozenset[str] = frozenset()
+        self.closed_zones = Closures()
         self.departures: Mapping[str, Departure] = {}
         self.steerable = threading.Event()
--- a/gypsumwind/core/records.py
+++ b/gypsumwind/core/records.py
@@ -1,7 +1,7 @@
 """Versioned records that VMs spread among themselves by push and by anti-entropy.
 
-A record's version only rises: an older one is dropped wherever it comes from. Two VMs compare
-one hash a scope first and exchange versions only where the hashes differ.
+A record's era and version only rise: an older one is dropped wherever it comes from. Two VMs
+compare one hash a scope first and exchange versions only where the hashes differ.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -9,18 +9,32 @@
 
 import xxhash
 
+from gypsumwind.core.versions import Version
+
 CONFIG_SCOPE = "config"
 ZONES_SCOPE = "zones"
 
+NONE = Version(-1)
+"""Version of a record that a VM does not have."""
+
 
 @dataclass(slots=True, frozen=True)
 class Record:
-    """A payload under a key, at a version; `scope` says which VMs keep it."""
+    """A payload under a key, at a version; `scope` says which VMs keep it.
+
+    `era` is that of the store whose revision the version is, 0 for versions of any other source.
+    """
 
     key: str
     version: int
     scope: str
     payload: bytes
+    era: int = 0
+
+    @property
+    def order(self) -> Version:
+        """Return what tells the newer of two records of one key."""
+        return Version(self.era, self.version)
 
 
 class Records:
@@ -52,7 +66,7 @@
         if record.scope not in self._scopes:
             return False
         known = self._records.get(record.key)
-        if known is not None and known.version >= record.version:
+        if known is not None and known.order >= record.order:
             return False
         self._records[record.key] = record
         return True
@@ -66,22 +80,22 @@
         total = 0
         for record in self._records.values():
             if record.scope == scope and wanted(record.key):
-                total ^= xxhash.xxh64_intdigest(f"{record.key}\x00{record.version}".encode())
+                total ^= xxhash.xxh64_intdigest(f"{record.key}\x00{record.order}".encode())
         return total >> 1
 
-    def versions(self, scope: str) -> dict[str, int]:
+    def versions(self, scope: str) -> dict[str, Version]:
         """Return the versions by key of one scope."""
-        return {r.key: r.version for r in self._records.values() if r.scope == scope}
+        return {r.key: r.order for r in self._records.values() if r.scope == scope}
 
-    def newer_than(self, scope: str, versions: Mapping[str, int]) -> list[Record]:
+    def newer_than(self, scope: str, versions: Mapping[str, Version]) -> list[Record]:
         """Return the records of one scope that are newer here than the versions given."""
         mine = [r for r in self._records.values() if r.scope == scope]
-        return [r for r in mine if r.version > versions.get(r.key, -1)]
+        return [r for r in mine if r.order > versions.get(r.key, NONE)]
 
-    def wanted(self, scope: str, versions: Mapping[str, int]) -> list[str]:
+    def wanted(self, scope: str, versions: Mapping[str, Version]) -> list[str]:
         """Return the keys that are newer in the versions given than here."""
         mine = self.versions(scope)
-        return [key for key, version in versions.items() if version > mine.get(key, -1)]
+        return [key for key, version in versions.items() if version > mine.get(key, NONE)]
 
     def scopes(self) -> Iterable[str]:
         """Return the scopes that this VM keeps."""
--- a/gypsumwind/core/upstreams.py
+++ b/gypsumwind/core/upstreams.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from gypsumwind.core.lapses import LAPSE_GRACE_S
+from gypsumwind.core.versions import Version
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,13 +29,13 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamList:
-    """All instances by id, as of a revision of the store.
+    """All instances by id, as of a version of the store.
 
     Until `grace_until`, in epoch seconds, entries may be missing that lapsed while the store was
     away.
     """
 
-    revision: int = 0
+    version: Version = Version()
     by_id: Mapping[str, Upstream] | None = None
     grace_until: float = 0.0
 
@@ -60,7 +61,8 @@
 def upstreams_to_json(found: UpstreamList) -> dict[str, Any]:
     """Return a list of instances as the document that VMs give each other."""
     return {
-        "revision": found.revision,
+        "era": found.version.era,
+        "revision": found.version.revision,
         "upstreams": [asdict(up) for up in found],
         "grace_until": found.grace_until,
     }
@@ -71,6 +73,7 @@
     try:
         found = [upstream_from_json(item) for item in doc["upstreams"]]
         grace_until = float(doc.get("grace_until", 0.0))
-        return UpstreamList(int(doc["revision"]), {up.id: up for up in found}, grace_until)
+        version = Version(int(doc["era"]), int(doc["revision"]))
+        return UpstreamList(version, {up.id: up for up in found}, grace_until)
     except (KeyError, TypeError) as exc:
         raise ValueError(f"list of upstreams: {exc!r}") from exc
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -19,10 +19,13 @@
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.restores import Closures, closures_to_json
 from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
 from gypsumwind.core.stops import Phase, Stop
 from gypsumwind.core.upstreams import UpstreamList, upstream_from_json, upstreams_to_json
+from gypsumwind.core.versions import Version
 from gypsumwind.dispatchers import DispatchActor
+from gypsumwind.eras import Eras
 from gypsumwind.exchanges import Exchanger
 from gypsumwind.feeds import Feed, FeedTask, Publish
 from gypsumwind.followers import RelayedFeed, Zone
@@ -60,13 +63,17 @@
 CODECS = {
     "rules": Codec(ruleset_to_json, ruleset_from_json),
     "upstreams": Codec(asdict, upstream_from_json),
-    "closed-zones": Codec(bool, bool),
+    "closed-zones": Codec(int, int),
 }
 """How relays hand on the values of each feed."""
 
 OFTEN = frozenset({"upstreams"})
 """Feeds that change many times a second, so that their calls tell a VM's way to the store."""
 
+LISTS = (UPSTREAMS_KEY, CLOSED_ZONES_KEY)
+"""Records that no peer has later than a fresh feed; a restored store may have lost a configuration
+that peers still have."""
+
 SWEEP_S = 1.0
 """Period in which connections that are idle or slow for too long are ended."""
 
@@ -131,8 +138,10 @@
         feeds: Feeds,
         registry: Registry,
         hangups: HangupTask,
+        eras: Eras,
     ) -> None:
         self._cfg = cfg
+        self._eras = eras
         self._steering = steering
         self._feeds = feeds
         self._registry = registry
@@ -147,7 +156,7 @@
         self._connections = Connections(cfg.ip)
         self._exchanger = Exchanger(self._connections, names, read_load, self._hangups)
         self._names = names
-        self._hub = RelayHub(self._boot, CODECS, OFTEN)
+        self._hub = RelayHub(self._boot, CODECS, OFTEN, eras)
 
     def __enter__(self) -> "DirectDaemon":
         try:
@@ -166,7 +175,7 @@
 
     def _start(self) -> None:
         cfg, board, rng = self._cfg, self.board, self._rng
-        metrics = Metrics(cfg.tenants)
+        metrics = Metrics(cfg.tenants, lambda: self._eras.current)
         enter = self._stack.enter_context
         self._dispatch = DispatchActor.start(cfg, self._steering, board, rng, self._spread)
         spread = SpreadTask(cfg, board, rng)
@@ -176,7 +185,7 @@
         policy = GossipPolicy(
             loads=False,
             gives=False,
-            fresh=lambda: {key for key, task in feed_tasks.items() if task.fresh},
+            fresh=lambda: {key for key in LISTS if feed_tasks[key].fresh},
         )
         gossip = GossipTask(cfg, self._boot, board, self._records, rng, policy)
         service = PeerService(
@@ -192,7 +201,13 @@
         )
         enter(self._server)
         self._announce = AnnounceTask(
-            cfg, self._registry, self._me.endpoint, self._members, lambda: not board.members.live()
+            cfg,
+            self._registry,
+            self._me.endpoint,
+            self._members,
+            lambda: not board.members.live(),
+            self._eras,
+            rng,
         )
         tasks: list[Task] = [
             self._announce,
@@ -239,23 +254,24 @@
         feed = RelayedFeed(name, own, zone, self._hub, follow)
         return FeedTask(name, feed, pace_s, put, self._rng)
 
-    def _put_rules(self, values: Mapping[str, Ruleset], revision: int, grace_s: float) -> None:
+    def _put_rules(self, values: Mapping[str, Ruleset], version: Version, grace_s: float) -> None:
+        """Keep a configuration by its own version, which no restore of the store takes back."""
         for rules in values.values():
-            self._put(RULES_KEY, rules.version, ruleset_to_json(rules))
+            self._put(RULES_KEY, Version(0, rules.version), ruleset_to_json(rules))
 
-    def _put_upstreams(self, values: Mapping[str, Any], revision: int, grace_s: float) -> None:
-        found = UpstreamList(revision, values, wall() + grace_s if grace_s > 0 else 0.0)
-        self._put(UPSTREAMS_KEY, revision, upstreams_to_json(found))
+    def _put_upstreams(self, values: Mapping[str, Any], version: Version, grace_s: float) -> None:
+        found = UpstreamList(version, values, wall() + grace_s if grace_s > 0 else 0.0)
+        self._put(UPSTREAMS_KEY, version, upstreams_to_json(found))
 
-    def _put_closed(self, values: Mapping[str, Any], revision: int, grace_s: float) -> None:
-        self._put(CLOSED_ZONES_KEY, revision, sorted(values))
+    def _put_closed(self, values: Mapping[str, Any], version: Version, grace_s: float) -> None:
+        self._put(CLOSED_ZONES_KEY, version, closures_to_json(Closures(version, values)))
 
     def _spread(self, departure: Departure) -> None:
         """Tell the VMs of the zone of an instance that leaves."""
         self._records.tell(msg.PutRecords((departure_record(departure, self._cfg.zone),)))
 
-    def _put(self, key: str, version: int, doc: Any) -> None:
-        record = Record(key, version, CONFIG_SCOPE, pack_json(doc))
+    def _put(self, key: str, version: Version, doc: Any) -> None:
+        record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
         self._records.tell(msg.PutRecords((record,)))
 
     def apply(self, steering: SteeringSettings) -> None:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -12,6 +12,8 @@
 from gypsumwind.core.dispatch import ColdBound, Decision, Dispatcher, Outcome, Placed
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.repeats import RepeatBudget
+from gypsumwind.core.restores import ClosedZones, InstanceMemory
+from gypsumwind.core.upstreams import Upstream
 from gypsumwind.log import Log
 from gypsumwind.settings import Settings
 from gypsumwind.steering import SteeringSettings
@@ -39,6 +41,8 @@
         self._dispatcher = Dispatcher(steering.regions, self._fleet(), self._cold_bound(), rng)
         self._futures: dict[int, Future] = {}
         self._budgets: dict[str, RepeatBudget] = {}
+        self._memory = InstanceMemory()
+        self._closed = ClosedZones()
 
     def handle(self, message: Any) -> Any:
         """Handle the messages about requests, steering, and Tick."""
@@ -97,6 +101,8 @@
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
             self._dispatcher.set_fleet(fleet, self._cold_bound())
+        if self._closed.expire(now):
+            self._dispatcher.set_closed_zones(self._closed.zones, now)
         self._drain(now)
 
     def _drain(self, now: float) -> None:
@@ -133,10 +139,20 @@
                     "instance-departs", instance=name, incarnation=incarnation, heard_s=heard_s
                 )
         grace_until = now + board.upstreams.grace_s(epoch)
-        self._dispatcher.set_upstreams(board.upstreams, now, epoch, grace_until)
-        self._dispatcher.set_closed_zones(board.closed_zones, now)
+        entries, returned = self._memory.take(board.upstreams, now < grace_until)
+        for up in returned:
+            self._keep_out(up, epoch)
+        self._dispatcher.set_upstreams(entries, now, epoch, grace_until)
+        self._closed.take(board.closed_zones, now)
+        self._dispatcher.set_closed_zones(self._closed.zones, now)
         self._drain(now)
 
+    def _keep_out(self, up: Upstream, epoch: float) -> None:
+        """Leave out an instance that has left, though a restored store lists it again."""
+        if self._dispatcher.hear_departure(up.id, up.incarnation):
+            log.info("instance-left-before-restore", instance=up.id, incarnation=up.incarnation)
+            self._spread(Departure(up.id, up.incarnation, epoch))
+
     def _fleet(self) -> Fleet:
         """Return the VMs that may send: silent ones count until they are forgotten."""
         zone = self._cfg.zone
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from gypsumwind.core.lapses import LAPSE_GRACE_S
+from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.log import Log
 from gypsumwind.tasks import Task
@@ -31,13 +32,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Changes:
-    """Values by name (None: removed or malformed), the revision, and what was malformed.
+    """Values by name (None: removed or malformed), the version, and what was malformed.
 
     For `grace_s` values may be missing that lapsed while the source was without the store.
     """
 
     values: Mapping[str, Any]
-    revision: int
+    version: Version
     faults: list[tuple[str, int, str]] = field(default_factory=list)
     grace_s: float = 0.0
 
@@ -49,13 +50,13 @@
         """Return the whole list."""
         ...
 
-    def changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision; STORE_HISTORY_GONE asks for a new read()."""
+    def changes(self, after: Version, wait_s: float) -> Changes:
+        """Wait for changes after a version; STORE_HISTORY_GONE asks for a new read()."""
         ...
 
 
-Publish = Callable[[Mapping[str, Any], int, float], None]
-"""Takes a whole list, its revision, and the time for which entries may be missing from it."""
+Publish = Callable[[Mapping[str, Any], Version, float], None]
+"""Takes a whole list, its version, and the time for which entries may be missing from it."""
 
 
 class FeedTask(Task):
@@ -78,7 +79,8 @@
         self._publish = publish
         self._rng = rng
         self._values: dict[str, Any] = {}
-        self._revision: int | None = None
+        self._version: Version | None = None
+        self._era: int | None = None
         self._retry_s = 0.0
         self._lost = False
         self._grace_until = 0.0
@@ -97,10 +99,10 @@
     def step(self) -> None:
         """Read the list, or wait for what changes in it."""
         try:
-            if self._revision is None:
+            if self._version is None:
                 self._take(self._feed.read(), whole=True)
             else:
-                self._take(self._feed.changes(self._revision, WAIT_S), whole=False)
+                self._take(self._feed.changes(self._version, WAIT_S), whole=False)
         except StoreError as exc:
             self._failed(exc)
             return
@@ -109,15 +111,16 @@
 
     def _take(self, found: Changes, whole: bool) -> None:
         self._regained()
+        self._notice_restore(found.version.era)
         self._grace_until = max(self._grace_until, monotonic() + found.grace_s)
         self._log_faults(found)
         merged = found.values if whole else {**self._values, **found.values}
         values = {name: value for name, value in merged.items() if value is not None}
         changed = whole or values != self._values
-        self._revision, self._values = found.revision, values
+        self._version, self._values = found.version, values
         if changed:
             grace_s = max(0.0, self._grace_until - monotonic())
-            self._publish(dict(values), found.revision, grace_s)
+            self._publish(dict(values), found.version, grace_s)
 
     def _regained(self) -> None:
         if self._lost:
@@ -125,10 +128,17 @@
             self._grace_until = monotonic() + LAPSE_GRACE_S
         self._lost = False
 
+    def _notice_restore(self, era: int) -> None:
+        """Give entries that a restored store has lost the time to be written again."""
+        if self._era is not None and era > self._era:
+            log.info("list-restored", feed=self.name, era=era, was=self._era)
+            self._grace_until = monotonic() + LAPSE_GRACE_S
+        self._era = era
+
     def _failed(self, exc: StoreError) -> None:
         if exc.code is Code.STORE_HISTORY_GONE:
-            log.info("history-gone", feed=self.name, revision=self._revision)
-            self._revision = None
+            log.info("history-gone", feed=self.name, version=str(self._version))
+            self._version = None
             return
         if not self._lost:
             log.warning("store-lost", feed=self.name, error=exc.message)
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -14,6 +14,7 @@
 from gypsumwind.core.delegates import Tiers
 from gypsumwind.core.lapses import LAPSE_GRACE_S
 from gypsumwind.core.membership import Endpoint
+from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import WAIT_S, Changes, Feed
 from gypsumwind.log import Log
@@ -105,19 +106,19 @@
     def read(self) -> Changes:
         """Return the whole list."""
         self._source = None
-        return self._next(0.0, 0)
+        return self._next(0.0, Version())
 
-    def changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision, or read the list whole at another source."""
+    def changes(self, after: Version, wait_s: float) -> Changes:
+        """Wait for changes after a version, or read the list whole at another source."""
         return self._next(wait_s, after)
 
-    def _next(self, wait_s: float, after: int) -> Changes:
+    def _next(self, wait_s: float, after: Version) -> Changes:
         role = self._zone.role()
         for vm, endpoint in self._sound(role):
             news = self._ask(vm, endpoint, min(wait_s, RELAY_WAIT_S), role.relay)
             if news is not None:
                 self._hub.keep(self._name, news.grace_s)
-                return self._changes(news.values, news.revision, news.whole, [], news.grace_s)
+                return self._changes(news.values, news.version, news.whole, [], news.grace_s)
         return self._from_store(min(wait_s, self._store_wait_s(role)), after)
 
     def _sound(self, role: Role) -> list[tuple[str, Endpoint]]:
@@ -146,6 +147,8 @@
                 news, values={n: None if doc is None else decode(doc) for n, doc in docs}
             )
             reason = "" if news.age_s < RELAY_AGE_S else f"no store for {news.age_s:.1f} s"
+            if not self._hub.eras.learn(news.version.era, vm):
+                reason = f"of era {news.version.era}, before the store was restored"
         except (PeerError, ValueError) as exc:
             reason = str(exc)
         if reason:
@@ -159,7 +162,7 @@
             self._hub.heard(self._name, news.age_s + late_s)
         return news
 
-    def _from_store(self, wait_s: float, after: int) -> Changes:
+    def _from_store(self, wait_s: float, after: Version) -> Changes:
         """Follow the store itself."""
         whole = self._source != self._zone.vm
         try:
@@ -176,7 +179,7 @@
         if self._lost:
             self._lost = False
             self._hub.keep(self._name, LAPSE_GRACE_S)
-        changes = self._changes(found.values, found.revision, whole, found.faults)
+        changes = self._changes(found.values, found.version, whole, found.faults)
         self._hub.heard(self._name)
         return changes
 
@@ -189,7 +192,7 @@
     def _changes(
         self,
         values: Mapping[str, Any],
-        revision: int,
+        version: Version,
         whole: bool,
         faults: list,
         grace_s: float = 0.0,
@@ -199,9 +202,9 @@
         changed = {**gone, **values}
         listed = {n: v for n, v in {**self._listed, **changed}.items() if v is not None}
         if listed != self._listed or whole:
-            self._hub.put(self._name, listed, revision)
+            self._hub.put(self._name, listed, version)
         self._listed = listed
-        return Changes(changed, revision, faults, grace_s)
+        return Changes(changed, version, faults, grace_s)
 
     def _use(self, source: str) -> None:
         if source != self._source:
--- a/gypsumwind/gypsumwind.thrift
+++ b/gypsumwind/gypsumwind.thrift
@@ -29,6 +29,8 @@
   2: i64 version
   3: string scope
   4: binary payload
+  // of the store whose revision the version is, 0 for any other source
+  5: i64 era = 0
 }
 
 struct ScopeDigest {
@@ -39,6 +41,8 @@
 struct ScopeVersions {
   1: string scope
   2: map<string, i64> versions
+  // by key where it is not 0
+  3: map<string, i64> eras
 }
 
 struct Wanted {
@@ -147,6 +151,7 @@
   5: bool whole
   6: binary values
   7: i32 grace_ms
+  8: i64 era = 0
 }
 
 service Peer {
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -76,6 +76,16 @@
             conn.abort(self)
 
 
+@contextmanager
+def in_scope(scope: CancelScope) -> Iterator[None]:
+    """Send the requests of this block for a scope, by which another thread may cancel them."""
+    token = _scope.set(scope)
+    try:
+        yield
+    finally:
+        _scope.reset(token)
+
+
 class TrackedConnection(HTTPConnection):
     """A connection that knows for which scope it is in use, and until when; a pool may pass it on.
 
--- a/gypsumwind/joins.py
+++ b/gypsumwind/joins.py
@@ -1,5 +1,6 @@
 """Joining: a VM that has just started reads the records of the seeds that answer."""
 
+import random
 import threading
 from collections.abc import Callable
 from typing import Protocol
@@ -8,6 +9,7 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.core.membership import Endpoint
+from gypsumwind.eras import Eras
 from gypsumwind.errors import StoreError
 from gypsumwind.gossip import GossipTask
 from gypsumwind.log import Log
@@ -29,8 +31,8 @@
 class Registry(Protocol):
     """Where VMs announce themselves, for those whose seeds are all gone; StoreError if down."""
 
-    def announce(self, vm: str, endpoint: Endpoint) -> None:
-        """Say where a VM is reached."""
+    def announce(self, vm: str, endpoint: Endpoint) -> int:
+        """Say where a VM is reached; return the era of the store that has it."""
         ...
 
     def withdraw(self, vm: str) -> None:
@@ -43,7 +45,11 @@
 
 
 class AnnounceTask(Task):
-    """Announces this VM once, and while it knows no other, looks for announced ones."""
+    """Announces this VM once in each era of the store, and while it knows no other, looks for some.
+
+    A store that was restored may have lost the announcement; the VMs of a fleet write theirs again
+    at random moments of a period.
+    """
 
     def __init__(
         self,
@@ -52,6 +58,8 @@
         endpoint: Endpoint,
         members: pykka.ActorRef,
         alone: Callable[[], bool],
+        eras: Eras,
+        rng: random.Random,
     ) -> None:
         super().__init__("announce", ALONE_S)
         self._cfg = cfg
@@ -59,18 +67,21 @@
         self._endpoint = endpoint
         self._members = members
         self._alone = alone
-        self._announced = False
+        self._eras = eras
+        self._rng = rng
+        self._announced: int | None = None
 
     def pause_s(self) -> float:
-        """Return a shorter pause until the announcement is in the store."""
-        return ALONE_S if self._announced else ANNOUNCE_RETRY_S
+        """Return a random pause, and a shorter one until the announcement is in the store."""
+        longest_s = ANNOUNCE_RETRY_S if self._announced is None else ALONE_S
+        return longest_s * self._rng.uniform(0.5, 1.0)
 
     def step(self) -> None:
         """Announce, then find others if none is known."""
         try:
-            if not self._announced:
-                self._registry.announce(self._cfg.vm, self._endpoint)
-                self._announced = True
+            if self._announced is None or self._announced < self._eras.current:
+                self._announced = self._registry.announce(self._cfg.vm, self._endpoint)
+                log.info("announced", era=self._announced)
             if self._alone():
                 found = [e for e in self._registry.read() if e.ip != self._endpoint.ip]
                 self._members.tell(msg.AddSeeds(tuple(found)))
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -15,6 +15,7 @@
 from gypsumwind.core.records import Record
 from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.versions import Version
 from gypsumwind.steering import SteeringSettings
 
 ASK_TIMEOUT_S = 5.0
@@ -89,7 +90,7 @@
     """To the records actor: answer with records of a scope that are newer than `versions`."""
 
     scope: str
-    versions: dict[str, int]
+    versions: dict[str, Version]
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,7 +98,7 @@
     """To the records actor: answer with the keys of a scope that are older here."""
 
     scope: str
-    versions: dict[str, int]
+    versions: dict[str, Version]
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/metrics.py
+++ b/gypsumwind/metrics.py
@@ -1,5 +1,7 @@
 """Counters and histograms per service, tenant and class, by OpenTelemetry."""
 
+from collections.abc import Callable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -18,7 +20,7 @@
 class Metrics:
     """The instruments of one daemon; label values of tenants are bounded in number."""
 
-    def __init__(self, max_tenants: int) -> None:
+    def __init__(self, max_tenants: int, store_era: Callable[[], int] = lambda: 0) -> None:
         view = View(
             instrument_name="gypsumwind_request_seconds",
             aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S),
@@ -43,6 +45,11 @@
             ],
             description="log lines that were not written",
         )
+        meter.create_observable_gauge(
+            "gypsumwind_store_era",
+            callbacks=[lambda options: [Observation(store_era())]],
+            description="era of the platform's store; it rises when the store is restored",
+        )
         self._max_tenants = max_tenants
         self._tenants: set[str] = set()
 
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -9,6 +9,7 @@
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.records import Record
+from gypsumwind.core.restores import closures_from_json
 from gypsumwind.core.rules import ruleset_from_json
 from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
 from gypsumwind.core.upstreams import upstreams_from_json
@@ -111,7 +112,7 @@
     VMLIST_KEY: unpack_json,
     RULES_KEY: lambda payload: ruleset_from_json(unpack_json(payload)),
     UPSTREAMS_KEY: lambda payload: upstreams_from_json(unpack_json(payload)),
-    CLOSED_ZONES_KEY: lambda payload: frozenset(unpack_json(payload)),
+    CLOSED_ZONES_KEY: lambda payload: closures_from_json(unpack_json(payload)),
 }
 """How records of one key are read."""
 
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -22,6 +22,7 @@
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
 from gypsumwind.core.records import Record
+from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, GypsumwindError
 from gypsumwind.relays import News, RelayHub
 from gypsumwind.settings import Settings
@@ -45,6 +46,8 @@
     reply_from_wire,
     reply_to_wire,
     thrift,
+    versions_from_wire,
+    versions_to_wire,
 )
 
 MAX_DATAGRAM_BYTES = 65536
@@ -87,10 +90,10 @@
         """Return the incarnation of a peer."""
         return int(self._call(to, "ping"))
 
-    def compare(self, to: Endpoint, digests: dict[str, int]) -> dict[str, dict[str, int]]:
+    def compare(self, to: Endpoint, digests: dict[str, int]) -> dict[str, dict[str, Version]]:
         """Return the peer's versions of the scopes whose digest differs."""
         wire = [thrift.ScopeDigest(scope, digest) for scope, digest in digests.items()]
-        return {v.scope: v.versions for v in self._call(to, "compare", wire)}
+        return {v.scope: versions_from_wire(v) for v in self._call(to, "compare", wire)}
 
     def exchange(
         self, to: Endpoint, records: Sequence[Record], wanted: dict[str, list[str]]
@@ -173,7 +176,7 @@
         mine = msg.ask(self._records, msg.GetDigests())
         differing = [d.scope for d in digests if d.scope in mine and mine[d.scope] != d.digest]
         return [
-            thrift.ScopeVersions(scope, msg.ask(self._records, msg.GetVersions(scope)))
+            versions_to_wire(scope, msg.ask(self._records, msg.GetVersions(scope)))
             for scope in differing
         ]
 
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -8,6 +8,7 @@
 import click
 
 from gypsumwind.direct import DirectDaemon, Feeds
+from gypsumwind.eras import Eras
 from gypsumwind.errors import SettingsError
 from gypsumwind.hangups import HangupTask
 from gypsumwind.log import end_logging, start_logging
@@ -49,9 +50,10 @@
     stop_signals = StopSignals()
     cfg = settings.cfg
     hangups = HangupTask()
-    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip, hangups)
+    eras = Eras()
+    store = PlatformStore(cfg.store_url, cfg.store_timeout_s, cfg.ip, hangups, eras)
     daemon = DirectDaemon(
-        cfg, settings.steering, HEADERS, read_load, _feeds(store), VmRegistry(store), hangups
+        cfg, settings.steering, HEADERS, read_load, _feeds(store), VmRegistry(store), hangups, eras
     )
     reload = ReloadTask(path, settings, daemon.apply)
     signal.signal(signal.SIGHUP, lambda *_: reload.ask())
@@ -80,7 +82,7 @@
                 obj.name, {"spec": obj.spec, "status": obj.status}, epoch
             ),
         ),
-        closed_zones=KindFeed(store, "evacuations", lambda obj, _: True),
+        closed_zones=KindFeed(store, "evacuations", lambda obj, _: obj.revision),
     )
 
 
--- a/gypsumwind/platform/headers.py
+++ b/gypsumwind/platform/headers.py
@@ -15,6 +15,10 @@
 )
 
 
+STORE_ERA = "store-era"
+"""In all answers of the store: how often it has come back from a copy."""
+
+
 def read_load(text: str) -> ReportedLoad | None:
     """Read the load that an instance tells; None if it is malformed."""
     parts = text.split(",")
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -162,10 +162,12 @@
             log.info("rules-in-force", version=value.version)
         elif record.key == UPSTREAMS_KEY:
             board.upstreams = value
-            log.info("upstreams-in-force", revision=value.revision, count=len(value.by_id or {}))
+            log.info("upstreams-in-force", version=str(value.version), count=len(value.by_id or {}))
         elif record.key == CLOSED_ZONES_KEY:
             board.closed_zones = value
-            log.info("closed-zones-in-force", revision=record.version, zones=sorted(value))
+            log.info(
+                "closed-zones-in-force", version=str(value.version), zones=sorted(value.revisions)
+            )
         elif record.key.startswith(DEPARTURE_PREFIX):
             board.departures = {**board.departures, value.id: value}
         self._gate.tell(msg.SyncSteering())
--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from gypsumwind.core.versions import Version
+from gypsumwind.eras import Eras
 from gypsumwind.utils import monotonic
 
 RELAY_WAIT_S = 1.0
@@ -37,7 +39,7 @@
 
 @dataclass(slots=True, frozen=True)
 class News:
-    """What a relay's log tells: its name and position, the store's revision, and the values.
+    """What a relay's log tells: its name and position, the store's version, and the values.
 
     With `whole`, names that are not in `values` are gone. `age_s` is the time since the relay
     last heard from the store. For `grace_s` entries may be missing that lapsed while the store was
@@ -46,7 +48,7 @@
 
     log: int
     position: int
-    revision: int
+    version: Version
     age_s: float
     whole: bool
     values: Mapping[str, Any]
@@ -61,15 +63,15 @@
         self._values: dict[str, Any] = {}
         self._positions: dict[str, int] = {}
         self._position = 0
-        self._revision = 0
+        self._version = Version()
         self._since = 0
         self._changed = threading.Condition()
 
-    def put(self, values: Mapping[str, Any], revision: int) -> None:
+    def put(self, values: Mapping[str, Any], version: Version) -> None:
         """Take in the whole list as it is now."""
         with self._changed:
             self._position += 1
-            self._revision = revision
+            self._version = version
             for name in {*values, *self._values}:
                 if values.get(name) != self._values.get(name):
                     self._positions[name] = self._position
@@ -93,7 +95,7 @@
             changed = [n for n, p in self._positions.items() if p > after]
             values = {n: self._values.get(n) for n in changed if known or n in self._values}
             age_s = age() if self._position else NEVER_S
-            return News(self._name, self._position, self._revision, age_s, not known, values)
+            return News(self._name, self._position, self._version, age_s, not known, values)
 
 
 class RelayHub:
@@ -101,12 +103,17 @@
 
     `name` tells the logs of two starts of a process apart. Feeds named in `often` call the store so
     often that each tells its own age; the others wait long for changes, and count as sound while
-    any feed hears from the store.
+    any feed hears from the store. `eras` are those of the store, as this VM learns of them.
     """
 
     def __init__(
-        self, name: int, codecs: Mapping[str, Codec], often: frozenset[str] = frozenset()
+        self,
+        name: int,
+        codecs: Mapping[str, Codec],
+        often: frozenset[str] = frozenset(),
+        eras: Eras | None = None,
     ) -> None:
+        self.eras = eras or Eras()
         self.codecs = codecs
         self.often = often
         self._logs = {feed: RelayLog(name) for feed in codecs}
@@ -126,9 +133,9 @@
         """For so long entries may be missing that lapsed while the store was away."""
         self._grace_until[feed] = max(self._grace_until[feed], monotonic() + seconds)
 
-    def put(self, feed: str, values: Mapping[str, Any], revision: int) -> None:
+    def put(self, feed: str, values: Mapping[str, Any], version: Version) -> None:
         """Take in the whole list of a feed as the store tells it."""
-        self._logs[feed].put(values, revision)
+        self._logs[feed].put(values, version)
 
     def follow(self, feed: str, name: int, position: int, wait_s: float) -> News:
         """Answer a follower, with the values as documents; KeyError for an unknown feed."""
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import nullcontext
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 from urllib.parse import quote
 
@@ -86,6 +86,16 @@
         ...
 
 
+@dataclass(slots=True, frozen=True)
+class StoreReply:
+    """An answer of a store: its status, headers, bytes, and the document that a read brought."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+    doc: Any = None
+
+
 class StoreCalls:
     """Calls to a store over HTTP, with the errors that any of them may end with."""
 
@@ -112,22 +122,22 @@
         )
         self._pool.pool_classes_by_scheme = {"http": TrackedPool}
 
-    def read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
-        """Return the status and the document, None for a status without one.
+    def read(self, path: str, timeout_s: float | None = None) -> StoreReply:
+        """Return the answer to a read; it has no document by some statuses.
 
         StoreError: STORE_UNAVAILABLE when no answer came, or one that is no document.
         """
         try:
-            status, data = self._call("GET", path, timeout_s)
-            doc = json.loads(data) if status in (200, 404) else None
+            reply = self._call("GET", path, timeout_s)
+            doc = json.loads(reply.data) if reply.status in (200, 404) else None
         except (HTTPError, ValueError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
-        return status, doc
+        return replace(reply, doc=doc)
 
     def write(
         self, method: str, path: str, doc: Any, headers: Mapping[str, str] | None = None
-    ) -> tuple[int, bytes]:
-        """Make a call that changes something; returns the status and the answer's bytes.
+    ) -> StoreReply:
+        """Make a call that changes something, and return its answer.
 
         StoreError: STORE_UNAVAILABLE when it was not sent, STORE_OUTCOME_UNKNOWN when no answer
         came and it may have been done, or may be done yet.
@@ -148,8 +158,8 @@
         timeout_s: float | None,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
-    ) -> tuple[int, bytes]:
-        """Return status and body; HTTPError without a whole answer in time and of bounded size."""
+    ) -> StoreReply:
+        """Return the answer; HTTPError without a whole answer in time and of bounded size."""
         read_s = timeout_s or self._timeout_s
         timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
         deadline = monotonic() + CONNECT_TIMEOUT_S + read_s
@@ -167,7 +177,7 @@
             answer.close()
             raise HTTPError(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
         answer.release_conn()
-        return answer.status, data
+        return StoreReply(answer.status, answer.headers, data)
 
 
 class HttpStore:
@@ -188,8 +198,8 @@
     def put(self, key: str, value: Any, expected: int | None) -> int:
         """Write an object if its version is as expected, and return the new version."""
         condition = {"If-None-Match": "*"} if expected is None else {"If-Match": f'"{expected}"'}
-        status, data = self._calls.write("PUT", f"/v1/objects/{quote(key)}", value, condition)
-        return _written(key, status, data)
+        reply = self._calls.write("PUT", f"/v1/objects/{quote(key)}", value, condition)
+        return _written(key, reply.status, reply.data)
 
     def list_objects(self, prefix: str) -> Iterator[Listing]:
         """Yield all objects under a prefix, a page after the other."""
@@ -221,10 +231,10 @@
             raise StoreError(Code.STORE_UNAVAILABLE, f"list of VMs: {exc!r}") from exc
 
     def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
-        status, doc = self._calls.read(path, timeout_s)
-        if doc is None:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: status {status}")
-        return status, doc
+        reply = self._calls.read(path, timeout_s)
+        if reply.doc is None:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: status {reply.status}")
+        return reply.status, reply.doc
 
 
 def _written(key: str, status: int, data: bytes) -> int:
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -1,6 +1,6 @@
 """Thrift messages between daemons and their conversion from and to the core's types."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from importlib.resources import files
 from typing import Any
 
@@ -13,6 +13,7 @@
 from gypsumwind.core.membership import Ack, Endpoint, Member, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, Hold
 from gypsumwind.core.records import Record
+from gypsumwind.core.versions import Version
 from gypsumwind.messages import HomeId, HomeLegacy, StoredOutcome
 from gypsumwind.relays import News
 from gypsumwind.utils import pack_json, unpack_json
@@ -90,13 +91,26 @@
 
 def record_to_wire(record: Record) -> Any:
     """Convert a record."""
-    return thrift.Record(record.key, record.version, record.scope, record.payload)
+    return thrift.Record(record.key, record.version, record.scope, record.payload, record.era)
 
 
 def record_from_wire(wire: Any) -> Record:
     """Convert a record back."""
     payload = wire.payload.encode() if isinstance(wire.payload, str) else wire.payload
-    return Record(wire.key, wire.version, wire.scope, payload)
+    return Record(wire.key, wire.version, wire.scope, payload, wire.era)
+
+
+def versions_to_wire(scope: str, versions: Mapping[str, Version]) -> Any:
+    """Convert the versions of the records of a scope."""
+    eras = {key: version.era for key, version in versions.items() if version.era}
+    revisions = {key: version.revision for key, version in versions.items()}
+    return thrift.ScopeVersions(scope, revisions, eras)
+
+
+def versions_from_wire(wire: Any) -> dict[str, Version]:
+    """Convert versions back."""
+    eras = wire.eras or {}
+    return {key: Version(eras.get(key, 0), number) for key, number in wire.versions.items()}
 
 
 def hold_to_wire(hold: Hold) -> Any:
@@ -180,7 +194,14 @@
     age_ms = int(news.age_s * 1000)
     grace_ms = int(news.grace_s * 1000)
     return thrift.RelayNews(
-        news.log, news.position, news.revision, age_ms, news.whole, values, grace_ms
+        news.log,
+        news.position,
+        news.version.revision,
+        age_ms,
+        news.whole,
+        values,
+        grace_ms,
+        news.version.era,
     )
 
 
@@ -191,4 +212,5 @@
     if not isinstance(values, dict):
         raise ValueError("news of a relay: the values are no document")
     age_s, grace_s = wire.age_ms / 1000.0, wire.grace_ms / 1000.0
-    return News(wire.log, wire.position, wire.revision, age_s, wire.whole, values, grace_s)
+    version = Version(wire.era, wire.revision)
+    return News(wire.log, wire.position, version, age_s, wire.whole, values, grace_s)
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -5,15 +5,19 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from urllib3 import HTTPHeaderDict
 
 from gypsumwind.core.membership import Ack, Endpoint, Member, Probe, State
 from gypsumwind.core.rules import ruleset_from_json, ruleset_to_json
 from gypsumwind.core.upstreams import upstream_from_json
+from gypsumwind.core.versions import Version
+from gypsumwind.eras import Eras
 from gypsumwind.errors import SettingsError, StoreError
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
 from gypsumwind.platform.headers import read_load
 from gypsumwind.platform.settings import read_platform_settings
 from gypsumwind.platform.store import KindFeed, PlatformStore
+from gypsumwind.stores import StoreReply
 from gypsumwind.wire import datagram_from_bytes, datagram_to_bytes
 from tests.standins.platform import CONFIG, server_entry, settings_lines
 
@@ -84,16 +88,16 @@
 class Calls:
     """Stands in for calls to the store: answers with one document."""
 
-    def __init__(self, doc):
-        self.doc = doc
+    def __init__(self, doc, headers=()):
+        self.doc, self.headers = doc, headers
 
     def read(self, path, timeout_s=None):
-        return 200, self.doc
+        return StoreReply(200, HTTPHeaderDict(self.headers), b"", self.doc)
 
 
-def feed(doc):
-    store = PlatformStore("http://127.0.0.1:1", 1.0, "127.0.0.1")
-    store._calls = Calls(doc)
+def feed(doc, headers=(), eras=None):
+    store = PlatformStore("http://127.0.0.1:1", 1.0, "127.0.0.1", eras=eras)
+    store._calls = Calls(doc, headers)
     decode = lambda obj, epoch: decode_upstream(  # noqa: E731
         obj.name, {"spec": obj.spec, "status": obj.status}, epoch
     )
@@ -111,7 +115,7 @@
 @given(doc=broken({"events": [{"object": OBJECT, "removed": False}], "at": 9}))
 def test_watch_of_the_store(doc):
     try:
-        feed(doc).changes(3, 0.1)
+        feed(doc).changes(Version(0, 3), 0.1)
     except StoreError:
         return
 
@@ -147,3 +151,18 @@
         read_platform_settings(str(path))
     except SettingsError as exc:
         assert exc.message
+
+
+@given(text=st.text(max_size=12) | st.from_regex(r"[0-9]{1,12}", fullmatch=True))
+def test_era_of_the_store(text):
+    """Whatever the header says, a list is read, unless it tells that its era is over."""
+    eras = Eras()
+    eras.learn(7, "test")
+    doc = {"items": [OBJECT], "hasMore": False, "at": 9}
+    try:
+        found = feed(doc, {"Store-Era": text}, eras).read()
+    except StoreError:
+        assert int(text) < 7
+        return
+    assert found.version.era == eras.current >= 7
+    assert eras.current == 7 or eras.current == int(text)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,7 @@
             self._connections_reset,
             self._store_fails,
             self._history_is_forgotten,
+            self._store_is_restored,
             self._vm_stops,
             self._vm_is_killed,
             self._vm_freezes,
@@ -83,7 +84,7 @@
     def _instance_leaves(self):
         up = self._instance()
         self.site.register(up.name, state="draining")
-        return up.name, lambda: self.site.register(up.name)
+        return up.name, lambda: self.site.register(up.name, anew=True)
 
     def _link_fails(self):
         pair = (self._vm().ip, self._rng.choice([self._instance().ip, self.site.store_ip]))
@@ -105,6 +106,17 @@
         self.site.store.forget_history()
         return "", None
 
+    def _store_is_restored(self):
+        store = self.site.store
+        copy = store.copy()
+
+        def restore():
+            before = store.copy()
+            store.restore(copy, away_s=self._rng.uniform(0.0, 1.0))
+            store.write_again(before)
+
+        return f"from revision {copy[1]}", restore
+
     def _vm_stops(self):
         vm = self._running_vm()
         if vm is None:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -9,6 +9,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -48,6 +49,7 @@
         super().__init__(folder, block, PLACES, ZONES)
         self.proxy = proxy
         self.store_ip = f"{block}.40"
+        self.starts = Counter()
         self.store = platform.PlatformStore(self.store_ip)
         self.instances = {
             name: Instance(name, f"{block}.{50 + n}") for n, (name, *_) in enumerate(PLACES)
@@ -60,10 +62,12 @@
         self.store.address = f"{block}.140:{port}"
         proxy.forward(f"{block}.140", self.store_ip, [int(port)])
 
-    def register(self, name, state="ready"):
-        """Write an instance's entry."""
+    def register(self, name, state="ready", anew=False):
+        """Write an instance's entry, under a new incarnation if it has started anew."""
         service, zone = next((s, z) for n, s, z in PLACES if n == name)
-        self.store.register(name, self.instances[name].address, service, zone, state)
+        self.starts[name] += anew
+        address, born = self.instances[name].address, 1 + self.starts[name]
+        self.store.register(name, address, service, zone, state, born=born)
 
     def runs(self):
         """Return all runs at instances."""
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,6 +16,9 @@
 PAGE = 3
 """Objects on a page of a list: few, so that every test reads several pages."""
 
+WRITTEN_AGAIN = ("config", "servers", "evacuations")
+"""Kinds whose objects others than the system write."""
+
 FRONT, CONTROL, DIRECTORY, READY, INTERNAL = 18381, 18382, 18383, 18388, 17200
 ZONES = {"a1": "a", "b1": "b"}
 
@@ -140,6 +143,8 @@
         self.calls = 0
         self.callers = Counter()
         self.delay_s = 0.0
+        self.era = 1
+        """What the header of all answers says of restores; None leaves it out."""
 
     def put(self, kind, name, spec, status=None):
         """Write an object as the operator or an instance would."""
@@ -170,6 +175,30 @@
             self.oldest = self.revision
             self.changed.notify_all()
 
+    def copy(self):
+        """Return what restore() goes back to."""
+        with self.changed:
+            return dict(self.objects), self.revision, list(self.log)
+
+    def restore(self, copy, away_s=0.0):
+        """Be away for a moment and come back as a copy was; revisions are given out again."""
+        self.set_mode("reset")
+        time.sleep(away_s)
+        with self.changed:
+            self.objects, self.revision, self.log = dict(copy[0]), copy[1], list(copy[2])
+            self.oldest = min(self.oldest, self.revision)
+            self.era += 1
+        self.set_mode("ok")
+
+    def write_again(self, before):
+        """Write what the operator and the instances had written since the copy, and no more."""
+        for (kind, name), obj in before[0].items():
+            if kind in WRITTEN_AGAIN and self.objects.get((kind, name)) is not obj:
+                self.put(kind, name, obj["spec"], obj["status"])
+        for kind, name in set(self.objects) - set(before[0]):
+            if kind in WRITTEN_AGAIN:
+                self.remove(kind, name)
+
     def set_mode(self, mode):
         """Set ok, busy (503), throttled (429), silent or reset."""
         with self.changed:
@@ -188,7 +217,7 @@
         until = time.monotonic() + wait_s
         with self.changed:
             while True:
-                if after < self.oldest:
+                if after < self.oldest or after > self.revision:
                     return None
                 found = [e for e in self.log if e[0] > after and e[1] == kind]
                 left = until - time.monotonic()
@@ -259,4 +288,7 @@
 
     def _json(self, status, doc):
         with suppress(OSError):
-            self.reply(status, json.dumps(doc).encode(), [("Content-Type", "application/json")])
+            era = self.server.standin.era
+            told = [] if era is None else [("Store-Era", str(era))]
+            kind = ("Content-Type", "application/json")
+            self.reply(status, json.dumps(doc).encode(), [kind, *told])
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -7,6 +7,8 @@
 from gypsumwind.board import Board
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.restores import Closures, closures_to_json
+from gypsumwind.core.versions import Version
 from gypsumwind.payloads import CLOSED_ZONES_KEY, HEIR_PREFIX, UPSTREAMS_KEY
 from gypsumwind.records import RecordsActor
 from gypsumwind.utils import pack_json
@@ -50,7 +52,8 @@
     board = Board(Member("v1", "a1", Endpoint("127.0.0.1", 0, 0, 1), 1, State.ALIVE))
     gate = started(Picky)
     records = started(RecordsActor, board, "a1", "a", gate, lambda found: None)
-    good = Record(CLOSED_ZONES_KEY, 5, CONFIG_SCOPE, pack_json(["a2"]))
+    closed = Closures(Version(0, 5), {"a2": 4})
+    good = Record(CLOSED_ZONES_KEY, 5, CONFIG_SCOPE, pack_json(closures_to_json(closed)))
     records.tell(msg.PutRecords((Record(key, 9, CONFIG_SCOPE, payload), good)))
     assert msg.ask(records, msg.GetDigests())
-    assert board.closed_zones == {"a2"}
+    assert board.closed_zones == closed
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -12,6 +12,7 @@
 from gypsumwind.core.dispatch import Outcome, Placed, Wanted
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.upstreams import Upstream, UpstreamList
+from gypsumwind.core.versions import Version
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.steering import SteeringSettings
 
@@ -22,7 +23,7 @@
 def actor():
     me = Member("vm-1", "a1", Endpoint("127.0.0.1", 1, 2, 3), 1, State.ALIVE)
     board = Board(me)
-    board.upstreams = UpstreamList(1, {"i1": UP})
+    board.upstreams = UpstreamList(Version(0, 1), {"i1": UP})
     steering = SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
     cfg = SimpleNamespace(vm="vm-1", zone="a1")
     ref = DispatchActor.start(cfg, steering, board, random.Random(1))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,7 +9,9 @@
 from gypsumwind.board import Board
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.records import CONFIG_SCOPE, Record
+from gypsumwind.core.restores import Closures, closures_to_json
 from gypsumwind.core.upstreams import UpstreamList, upstreams_to_json
+from gypsumwind.core.versions import Version
 from gypsumwind.gossip import GossipPolicy, GossipTask
 from gypsumwind.payloads import CLOSED_ZONES_KEY, UPSTREAMS_KEY
 from gypsumwind.records import RecordsActor
@@ -24,11 +26,16 @@
 
 
 def closed(version):
-    return Record(CLOSED_ZONES_KEY, version, CONFIG_SCOPE, pack_json([]))
+    return Record(
+        CLOSED_ZONES_KEY,
+        version,
+        CONFIG_SCOPE,
+        pack_json(closures_to_json(Closures(Version(0, version)))),
+    )
 
 
 def upstreams(version):
-    doc = upstreams_to_json(UpstreamList(version, {}))
+    doc = upstreams_to_json(UpstreamList(Version(0, version), {}))
     return Record(UPSTREAMS_KEY, version, CONFIG_SCOPE, pack_json(doc))
 
 
@@ -40,7 +47,7 @@
         self.given, self.asked = [], []
 
     def compare(self, to, digests):
-        return {CONFIG_SCOPE: {key: r.version for key, r in self.records.items()}}
+        return {CONFIG_SCOPE: {key: r.order for key, r in self.records.items()}}
 
     def exchange(self, to, given, wanted):
         self.given += [record.key for record in given]
@@ -81,14 +88,14 @@
     peer = FakePeer(upstreams(7), closed(7))
     board = sync(peer, GossipPolicy(fresh=lambda: {UPSTREAMS_KEY}))
     assert peer.asked == [CLOSED_ZONES_KEY]
-    assert board.upstreams.revision == 0
+    assert board.upstreams.version.revision == 0
 
 
 def test_vm_without_the_store_learns_all_from_its_peer(sync):
     peer = FakePeer(upstreams(7), closed(7))
     board = sync(peer, GossipPolicy(gives=False))
     assert sorted(peer.asked) == sorted([UPSTREAMS_KEY, CLOSED_ZONES_KEY])
-    assert board.upstreams.revision == 7
+    assert board.upstreams.version.revision == 7
 
 
 @pytest.mark.parametrize("gives", [True, False])
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -16,6 +16,7 @@
 from gypsumwind.core.delegates import FOLLOWERS, Tiers, delegates
 from gypsumwind.core.lapses import LAPSE_GRACE_S, GracedList
 from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
 from gypsumwind.followers import (
@@ -61,6 +62,7 @@
 
     def __init__(self):
         self.values, self.history, self.revision = {}, [], 1
+        self.era, self.ever = 0, set()
         self.calls = 0
         self.waited_s = 0.0
         """Longest wait that the last call, to the store or to a VM, asked for."""
@@ -69,6 +71,20 @@
         self.revision += 1
         self.values = {n: v for n, v in {**self.values, name: value}.items() if v is not None}
         self.history.append((self.revision, name, value))
+        self.ever.add((name, value))
+
+    def restore(self, steps):
+        """Come back from a copy: the last changes are lost, their revisions are given out again."""
+        self.history = self.history[: max(0, len(self.history) - steps)]
+        self.revision, self.values = 1, {}
+        for revision, name, value in self.history:
+            self.revision = revision
+            self.values = {n: v for n, v in {**self.values, name: value}.items() if v is not None}
+        self.era += 1
+
+    @property
+    def version(self):
+        return Version(self.era, self.revision)
 
 
 class StoreFeed:
@@ -79,13 +95,16 @@
 
     def read(self):
         self._call()
-        return Changes(dict(self.store.values), self.store.revision)
+        return Changes(dict(self.store.values), self.store.version)
 
     def changes(self, after, wait_s):
         self._call()
         self.store.waited_s = wait_s
-        found = {name: value for revision, name, value in self.store.history if revision > after}
-        return Changes(found, self.store.revision)
+        if after.era != self.store.era:
+            raise StoreError(Code.STORE_HISTORY_GONE, "the store was restored")
+        history = self.store.history
+        found = {name: value for revision, name, value in history if revision > after.revision}
+        return Changes(found, self.store.version)
 
     def _call(self):
         if self.cut:
@@ -99,7 +118,7 @@
     def __init__(self, fleet, name, boot=1):
         self.own = StoreFeed(fleet.store)
         self.hub = RelayHub(boot, CODECS, frozenset("t"))
-        self._list, self.revisions = GracedList(), []
+        self._list, self.versions = GracedList(), []
         me = Member(name, "a1", PLACES[name], boot, State.ALIVE)
         board = Board(me)
         others = {vm: Member(vm, "a1", PLACES[vm], 1, State.ALIVE) for vm in fleet.names}
@@ -109,10 +128,10 @@
         feed = RelayedFeed("t", self.own, self.zone, self.hub, fleet.follow)
         self.task = FeedTask("t", feed, 0.5, self._publish, random.Random(1))
 
-    def _publish(self, values, revision, grace_s):
+    def _publish(self, values, version, grace_s):
         now = feeds.monotonic()
         self._list.take(values, now + grace_s, now)
-        self.revisions.append(revision)
+        self.versions.append(version)
 
     @property
     def known(self):
@@ -263,7 +282,7 @@
 
 def test_delegate_whose_list_is_old_is_not_followed_though_another_feed_has_the_store(clock):
     hub = RelayHub(1, {"t": CODECS["t"], "quiet": CODECS["t"]}, frozenset("t"))
-    hub.put("t", {"a": 1}, 1)
+    hub.put("t", {"a": 1}, Version(0, 1))
     hub.heard("t")
     clock.now += 3.0
     hub.heard("quiet")
@@ -284,7 +303,7 @@
 def test_age_of_a_delegate_that_never_heard_fits_the_wire_on_a_machine_up_for_long(clock):
     clock.now = 4e6
     hub = RelayHub(1, CODECS)
-    hub.put("t", {"a": 1}, 1)
+    hub.put("t", {"a": 1}, Version(0, 1))
     news = news_from_wire(unpack(thrift.RelayNews, pack(news_to_wire(hub.follow("t", 0, 0, 0.0)))))
     assert news.age_s > RELAY_AGE_S and news.values == {"a": [1]}
 
@@ -307,20 +326,20 @@
 def test_removed_names_beyond_what_a_log_keeps_are_told_by_the_whole_list(clock, monkeypatch):
     monkeypatch.setattr(relays, "MAX_REMOVED", 3)
     made = RelayLog(7)
-    made.put({f"n{i}": i for i in range(10)}, 1)
+    made.put({f"n{i}": i for i in range(10)}, Version(0, 1))
     position = made.follow(0, 0, 0.0, float).position
-    made.put({"n0": 0}, 2)
+    made.put({"n0": 0}, Version(0, 2))
     news = made.follow(7, position, 0.0, float)
     assert news.whole and news.values == {"n0": 0}
 
 
 def test_follower_that_waits_is_told_at_once():
     made = RelayLog(7)
-    made.put({}, 1)
+    made.put({}, Version(0, 1))
     found = []
     waiting = threading.Thread(target=lambda: found.append(made.follow(7, 1, 20.0, float)))
     waiting.start()
-    made.put({"a": 1}, 2)
+    made.put({"a": 1}, Version(0, 2))
     waiting.join(10)
     assert [news.values for news in found] == [{"a": 1}]
 
@@ -444,6 +463,10 @@
     def store_changes(self, name, value):
         self.fleet.store.set(name, value)
 
+    @rule(steps=st.integers(0, 5))
+    def store_comes_back_from_a_copy(self, steps):
+        self.fleet.store.restore(steps)
+
     @rule(vms=st.sets(st.sampled_from(VMS)))
     def vms_are_cut_from_the_store(self, vms):
         for name, vm in self.fleet.vms.items():
@@ -478,9 +501,14 @@
     @invariant()
     def what_is_known_was_in_the_store(self):
         """Each value; not each list, for what lapsed while the store was away is kept a while."""
-        told = {(name, value) for _, name, value in self.fleet.store.history}
         for vm in self.fleet.vms.values():
-            assert set(vm.known.items()) <= told
+            assert set(vm.known.items()) <= self.fleet.store.ever
+
+    @invariant()
+    def no_vm_goes_back_to_an_earlier_era(self):
+        for vm in self.fleet.vms.values():
+            eras = [version.era for version in vm.versions]
+            assert eras == sorted(eras)
 
 
 class LargeZoneMachine(RelayMachine):
