A spare connection to each far instance in use

Cause: a tenth to an eighth of the requests to another region open a connection first, one round trip of 110 ms more of objectives of 300 to 500 ms. Change: where a connect took 30 ms or more, one idle connection is kept while the instance is in use; opened by a task that waits for none; a failed one is not tried again before a request has connected.

The emulator plays zones that are not reached; bench.ablation prints what each mechanism of placing is worth.

--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,139 @@
+"""What each mechanism of placing is worth: scenes played with one of them switched off at a time.
+
+`python -m bench.ablation --seeds 4` prints a table in Markdown: the share of callers that are
+answered within their objective, over some seeds, with the standard deviation for all mechanisms on.
+"""
+
+import dataclasses
+import math
+import statistics
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import click
+
+from bench.emulator import Emulator, Scene, dispatcher
+from gypsumwind.core import dispatch, locality, warmth
+
+WORKERS = 3
+
+BOOKING = Scene(
+    rate=266,
+    seconds=20.0,
+    room=(("ka", 4), ("kb", 4), ("ea", 1), ("eb", 1), ("pa", 3), ("pb", 3)),
+    objects=66,
+    keeps=48,
+    work_s=0.48,
+    objective_s=0.4,
+    deadline_s=1.2,
+    far_s=0.07,
+    burst=(0.0, 0.0, 1.0),
+    wave=(0.55, 36.0),
+)
+"""Look-ups of the booking fleet: a third of the callers in a region with an eighth of the room."""
+
+SCENES = {
+    "calm": BOOKING,
+    "short requests": dataclasses.replace(
+        BOOKING, rate=65, work_s=0.192, objective_s=0.19, slots=3, queue=9
+    ),
+    "room lost while cold": dataclasses.replace(BOOKING, rate=340, closed=("ka", 1.3, 10.3)),
+    "zone not reached": dataclasses.replace(BOOKING, rate=300, down=("pa", 6.0, 14.0)),
+    "slow instances": dataclasses.replace(
+        BOOKING, rate=340, slow=(("ka-0", "ea-0", "pb-0"), 6.0, 16.0, 4.0)
+    ),
+    "overload": dataclasses.replace(BOOKING, rate=560),
+    "hot objects": dataclasses.replace(BOOKING, rate=450, skew=1.2),
+    "first fleet, burst": Scene(rate=360, seconds=20.0, burst=(8.0, 12.0, 1.5)),
+    "three instances": Scene(
+        rate=30, seconds=20.0, room=(("ka", 2), ("ea", 1)), objects=30, keeps=20
+    ),
+    "many objects, many VMs": Scene(
+        300, 20.0, (("ka", 8), ("ea", 8), ("pa", 8)), 6, objects=400, keeps=40
+    ),
+}
+
+
+def _nothing() -> None:
+    """All mechanisms on."""
+
+
+def _no_warmth() -> None:
+    warmth.Warmth.warm = lambda self, key, instance, now: False  # type: ignore[method-assign]
+
+
+def _cold_anywhere() -> None:
+    dispatch.SPARE_SHARE = dispatch.FULL_SHARE
+    dispatch.COLD_WORK = dispatch.SECOND_HOME_WORK
+
+
+def _one_home() -> None:
+    dispatch.HOMES = dispatch.RANKED = 1
+
+
+def _two_homes() -> None:
+    dispatch.RANKED = dispatch.HOMES
+
+
+def _fixed_locality() -> None:
+    locality.LOW_USE, locality.HIGH_USE = 0.0, math.inf
+
+
+def _no_ejection() -> None:
+    dispatch.Lane.eject = lambda self, now: None  # type: ignore[method-assign]
+
+
+def _own_load_only() -> None:
+    dispatch.Lane.hear = lambda self, report, now: None  # type: ignore[method-assign]
+
+
+def _no_mean_load() -> None:
+    dispatch.MEAN_WEIGHT = 0.0
+
+
+def _no_waiting() -> None:
+    dispatch.MAX_WAITING = 0
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "all on": _nothing,
+    "without memory of warm objects": _no_warmth,
+    "cold runs at any home with room": _cold_anywhere,
+    "one home": _one_home,
+    "two homes, also of hot objects": _two_homes,
+    "fixed local share": _fixed_locality,
+    "without leaving instances out": _no_ejection,
+    "own sends for load": _own_load_only,
+    "without the mean of told loads": _no_mean_load,
+    "nothing waits": _no_waiting,
+}
+
+
+def _share(job: tuple[str, str, int]) -> float:
+    mechanism, name, seed = job
+    MECHANISMS[mechanism]()
+    scene = SCENES[name]
+    totals = Emulator(scene, dispatcher(scene), seed).run()
+    return totals.in_objective / max(1, totals.asked)
+
+
+@click.command()
+@click.option("--seeds", default=4, help="seeds of each scene, from 1 on")
+def main(seeds: int) -> None:
+    """Print the table."""
+    click.echo("| mechanism | " + " | ".join(SCENES) + " |")
+    click.echo("| --- |" + " --- |" * len(SCENES))
+    for mechanism in MECHANISMS:
+        jobs = [(mechanism, name, seed) for name in SCENES for seed in range(1, seeds + 1)]
+        with ProcessPoolExecutor(WORKERS) as pool:
+            shares = list(pool.map(_share, jobs))
+        cells = []
+        for n in range(len(SCENES)):
+            of_scene = shares[n * seeds : (n + 1) * seeds]
+            spread = f" ± {statistics.stdev(of_scene):.3f}" if mechanism == "all on" else ""
+            cells.append(f"{statistics.mean(of_scene):.3f}{spread}")
+        click.echo(f"| {mechanism} | " + " | ".join(cells) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -69,6 +69,9 @@
     closed: tuple[str, float, float] = ("", 0.0, 0.0)
     """A zone that gets nothing, from and to; it comes back warm."""
 
+    down: tuple[str, float, float] = ("", 0.0, 0.0)
+    """A zone whose instances are not reached, from and to; they come back with nothing warm."""
+
     slow: tuple[tuple[str, ...], float, float, float] = ((), 0.0, 0.0, 1.0)
     """Instances, from and to, and how many times as long their work takes then."""
 
@@ -207,6 +210,10 @@
         """Return what the instance tells of itself."""
         return ReportedLoad(self.running, len(self.waiting), self.scene.slots)
 
+    def forget(self) -> None:
+        """Lose what is warm, as at a start."""
+        self._warm.clear()
+
     def touch(self, key: str) -> bool:
         """Run an object: tell whether it was warm, and keep it so."""
         warm = self._warm.pop(key, False) is None
@@ -244,7 +251,7 @@
             zone: [make(f"vm-{zone}-{n}", zone, ups, names) for n in range(scene.vms_per_zone)]
             for zone, _ in scene.room
         }
-        self._held: dict[int, tuple[Job, Placement]] = {}
+        self._held: dict[int, tuple[Job, Placement, frozenset[str]]] = {}
 
     def run(self) -> Totals:
         """Play to the end and return what the callers got."""
@@ -307,13 +314,15 @@
 
     def _ask(self, job: Job) -> None:
         job.tries += 1
-        vm = self._rng.choice(self._vms[job.zone])
+        self._place(job, self._rng.choice(self._vms[job.zone]), frozenset())
+
+    def _place(self, job: Job, vm: Placement, exclude: frozenset[str]) -> None:
         ticket = next(self._tickets)
         deadline = job.began + self.scene.deadline_s
         objective = job.began + self.scene.objective_s if self.scene.told else deadline
-        wanted = Wanted(ticket, "s", job.key, 1, deadline, objective=objective)
+        wanted = Wanted(ticket, "s", job.key, 1, deadline, exclude=exclude, objective=objective)
         decision = vm.place(wanted, self.now)
-        self._held[ticket] = (job, vm)
+        self._held[ticket] = (job, vm, exclude)
         if decision is not None:
             self._decide(ticket, decision)
 
@@ -322,14 +331,27 @@
             self._decide(ticket, decision)
 
     def _decide(self, ticket: int, decision: Decision) -> None:
-        job, vm = self._held.pop(ticket)
+        job, vm, exclude = self._held.pop(ticket)
         if isinstance(decision, Refused):
             self._refuse(job, decision.retry_after_s)
             return
         up = decision.upstream
         delay = self._delay(job.zone, up.zone)
+        zone, start, end = self.scene.down
+        if up.zone == zone and start <= self.now < end:
+            self._instances[up.id].forget()
+            self._at(2 * delay, lambda: self._miss(job, vm, up, exclude))
+            return
         self._at(delay, lambda: self._reach(job, vm, self._instances[up.id], delay))
 
+    def _miss(self, job: Job, vm: Placement, up: Upstream, exclude: frozenset[str]) -> None:
+        """An instance was not reached: the VM sends the request to another one, once."""
+        vm.finish(up, Outcome.UNREACHABLE, None, 0.0, self.now)
+        if exclude:
+            self.totals.failed += 1
+        else:
+            self._place(job, vm, frozenset((up.id,)))
+
     def _refuse(self, job: Job, retry_s: float) -> None:
         left = job.began + self.scene.deadline_s - self.now
         if job.tries < 2 and retry_s < left:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -52,6 +52,7 @@
 from gypsumwind.relays import RELAY_WAIT_S, Codec, RelayHub
 from gypsumwind.servers import EXPIRE_S, Server
 from gypsumwind.settings import Settings
+from gypsumwind.spares import SpareTask
 from gypsumwind.steering import HeaderNames, SteeringSettings
 from gypsumwind.tasks import Task
 from gypsumwind.utils import monotonic, pack_json, wall
@@ -224,6 +225,7 @@
             self._hangups,
             spread,
             gossip,
+            SpareTask(self._connections, cfg.ip),
             SweepTask(self._connections, heads, self._server, board),
             JoinTask(cfg, gossip, lambda: board.rules is not None, self._joined),
             *feed_tasks.values(),
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -115,7 +115,9 @@
             return None
         try:
             conn.timeout = min(left, CONNECT_S)
+            began = monotonic()
             conn.connect()
+            self._connections.connected(conn.host, conn.port or 0, monotonic() - began)
         except (HTTPError, OSError) as exc:
             conn.close()
             return _failed(
