What a VM knows of instances and of services stands apart from placing

core/dispatch.py goes from 743 to some 520 lines: what is asked and decided is in core/placing.py, an instance's load and health in core/instances.py, a service's times and those who wait in core/services.py.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -13,7 +13,7 @@
 import click
 
 from bench.emulator import Emulator, Scene, dispatcher
-from gypsumwind.core import dispatch, locality, warmth
+from gypsumwind.core import dispatch, instances, locality, warmth
 
 WORKERS = 3
 
@@ -80,15 +80,15 @@
 
 
 def _no_ejection() -> None:
-    dispatch.Lane.eject = lambda self, now: None  # type: ignore[method-assign]
+    instances.Lane.eject = lambda self, now: None  # type: ignore[method-assign]
 
 
 def _own_load_only() -> None:
-    dispatch.Lane.hear = lambda self, report, now: None  # type: ignore[method-assign]
+    instances.Lane.hear = lambda self, report, now: None  # type: ignore[method-assign]
 
 
 def _no_mean_load() -> None:
-    dispatch.MEAN_WEIGHT = 0.0
+    instances.MEAN_WEIGHT = 0.0
 
 
 def _no_waiting() -> None:
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -18,17 +18,10 @@
 
 import click
 
-from gypsumwind.core.dispatch import (
-    ColdBound,
-    Decision,
-    Dispatcher,
-    Outcome,
-    Placed,
-    Refused,
-    ReportedLoad,
-    Wanted,
-)
+from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import Outcome, ReportedLoad
+from gypsumwind.core.placing import Decision, Placed, Refused, Wanted
 from gypsumwind.core.rendezvous import rank
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -12,16 +12,18 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from gypsumwind.core.departures import Departures
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import Lane, Outcome, ReportedLoad
 from gypsumwind.core.lapses import GracedList
-from gypsumwind.core.locality import Locality, RegionShares
+from gypsumwind.core.locality import RegionShares
 from gypsumwind.core.placement import Place, Site, homes, site_weights
+from gypsumwind.core.placing import Decision, Placed, Refused, Wanted
 from gypsumwind.core.rules import ServicePolicy
+from gypsumwind.core.services import ServiceState, Waiting
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmth import Warmth
 from gypsumwind.core.warmup import SPACING_S, senders
@@ -57,36 +59,6 @@
 MAX_PLANS = 20_000
 """Keys whose homes are remembered."""
 
-LOAD_DECAY_S = 0.5
-"""Age at which a report of an instance's load counts for a third against its mean."""
-
-MEAN_WEIGHT = 0.1
-"""Weight of one report in the mean load by other VMs."""
-
-WORK_WEIGHT = 0.05
-"""Weight of one answer in the mean time of a service."""
-
-FIRST_WORK_S = 0.5
-"""Time that a request is taken to need before any answer was seen, in seconds."""
-
-FAILURE_WEIGHT = 0.25
-"""Weight of one result in an instance's share of failures."""
-
-EJECT_ABOVE = 0.55
-"""Share of failures above which an instance is left out: three in a row, from none."""
-
-EJECT_MARGIN = 0.4
-"""How far an instance's share of failures has to lie above its service's for that: where all
-instances fail alike, leaving some out only makes objects cold at the others. Two standard
-deviations of the share of an instance that fails half of its requests: sqrt(w / (2 - w)) / 2."""
-
-SERVICE_FAILURE_WEIGHT = 0.02
-"""Weight of one result in a service's share of failures: some fifty results, over its instances."""
-
-EJECT_S = 1.0
-MAX_EJECT_S = 8.0
-"""First and longest time for which an instance is left out; doubled while its trials fail."""
-
 LEAVING_S = 2.0
 """Time for which an instance is left out whose answer closed its connection.
 
@@ -101,9 +73,6 @@
 MAX_RETRY_S = 5.0
 """Bounds of what a refused caller is told to wait, in seconds."""
 
-RATE_WINDOW_S = 1.0
-"""Time over which the requests placed are counted, to tell how long a queue will last."""
-
 REMEMBER_S = 30.0
 """Time for which an instance that left the list is remembered: its entry may have lapsed only."""
 
@@ -114,68 +83,6 @@
 """Requests that wait here at most; beyond it they are refused at once."""
 
 
-@dataclass(slots=True, frozen=True)
-class Wanted:
-    """A request to be placed; `deadline` is the latest useful answer on the VM's clock.
-
-    An answer by `objective` is of full use, a later one of some; 0 means that only the deadline
-    counts.
-
-    Objects are shared by the callers of a region, so homes are planned for regions; a `bulky`
-    request has its home in its zone, where its body crosses no link between zones.
-    """
-
-    ticket: int
-    service: str
-    key: str
-    priority: int
-    deadline: float
-    regions: frozenset[str] = frozenset()
-    exclude: frozenset[str] = frozenset()
-    bulky: bool = False
-    objective: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Placed:
-    """Send the request to this instance; the values after it say why."""
-
-    upstream: Upstream
-    load: float
-    load_age_s: float
-    home: bool
-    waited_s: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """The request cannot be served in time; it may come back after `retry_after_s`."""
-
-    reason: str
-    retry_after_s: float
-    waited_s: float = 0.0
-
-
-Decision = Placed | Refused
-
-
-class Outcome:
-    """How a send ended, as evidence about the instance."""
-
-    OK = "ok"
-    FAILED = "failed"
-    SHED = "shed"
-    SLOW = "slow"
-    CUT = "cut"
-    UNREACHABLE = "unreachable"
-    MISDIRECTED = "misdirected"
-    LATE = "late"
-    CANCELLED = "cancelled"
-
-
-NO_EVIDENCE = frozenset((Outcome.CANCELLED, Outcome.MISDIRECTED, Outcome.LATE))
-"""Outcomes that tell nothing of an instance's health."""
-
 SLOW_WORK = 2.0
 """Mean times of a request after which an instance that has not answered counts as failing.
 
@@ -184,137 +91,6 @@
 """
 
 
-@dataclass(slots=True, frozen=True)
-class ReportedLoad:
-    """What an instance says of itself: requests that run and wait, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-class Lane:
-    """What this VM knows of one instance."""
-
-    __slots__ = (
-        "upstream",
-        "region",
-        "own",
-        "others",
-        "mean_others",
-        "heard_at",
-        "failures",
-        "ejected_until",
-        "eject_s",
-        "cold_until",
-        "cold_next",
-        "paused_until",
-        "leaving",
-        "departing",
-        "misdirected",
-    )
-
-    def __init__(self, upstream: Upstream) -> None:
-        self.upstream = upstream
-        self.region = ""
-        self.own = 0
-        self.others = 0.0
-        self.mean_others = 0.0
-        self.heard_at = -math.inf
-        self.failures = 0.0
-        self.ejected_until = -math.inf
-        self.eject_s = EJECT_S
-        self.cold_until = -math.inf
-        self.cold_next = -math.inf
-        self.paused_until = -math.inf
-        self.leaving = False
-        self.departing = False
-        self.misdirected = False
-
-    @property
-    def listed(self) -> bool:
-        """Tell whether the entry holds: the instance stays, and is where the entry says."""
-        return not self.leaving and not self.departing and not self.misdirected
-
-    def load(self, now: float) -> float:
-        """Return the requests that the instance is taken to have: own ones and other VMs'."""
-        fresh = math.exp(-max(0.0, now - self.heard_at) / LOAD_DECAY_S)
-        return self.own + self.mean_others + (self.others - self.mean_others) * fresh
-
-    def share(self, now: float) -> float:
-        """Return the load as a part of the slots."""
-        return self.load(now) / max(1, self.upstream.slots)
-
-    def hear(self, report: ReportedLoad, now: float) -> None:
-        """Take in what the instance said of its load."""
-        self.others = max(0.0, report.running + report.waiting - self.own)
-        self.mean_others += MEAN_WEIGHT * (self.others - self.mean_others)
-        self.heard_at = now
-
-    def observe(self, outcome: str, usual: float, now: float) -> None:
-        """Take in how a send ended; `usual` is the share of failures of its whole service."""
-        self.misdirected |= outcome == Outcome.MISDIRECTED
-        if outcome in NO_EVIDENCE:
-            return
-        bad = outcome != Outcome.OK
-        self.failures += FAILURE_WEIGHT * (bad - self.failures)
-        if not bad and self.failures < EJECT_ABOVE / 2:
-            self.eject_s = EJECT_S
-        limit = max(EJECT_ABOVE, usual + EJECT_MARGIN)
-        if outcome == Outcome.UNREACHABLE or self.failures > limit:
-            self.eject(now)
-
-    def eject(self, now: float) -> None:
-        """Leave the instance out for a while; a trial follows."""
-        if now < self.ejected_until:
-            return
-        self.ejected_until = now + self.eject_s
-        self.eject_s = min(MAX_EJECT_S, 2 * self.eject_s)
-        self.failures = EJECT_ABOVE
-
-    def leave_out(self, until: float) -> None:
-        """Leave the instance out, if there is another, for a reason that is no failure."""
-        self.ejected_until = max(self.ejected_until, until)
-
-
-@dataclass(slots=True)
-class _Waiting:
-    wanted: Wanted
-    since: float
-
-
-@dataclass(slots=True)
-class _ServiceState:
-    """Mean time of a service's requests, its share of failures, and those that wait for room."""
-
-    work_s: float = FIRST_WORK_S
-    locality: Locality = field(default_factory=Locality)
-    failures: float = 0.0
-    waiting: list[_Waiting] = field(default_factory=list)
-    placed: deque[float] = field(default_factory=deque)
-
-    def observe(self, outcome: str) -> None:
-        """Take in how a send to any instance of the service ended."""
-        if outcome not in NO_EVIDENCE:
-            bad = outcome != Outcome.OK
-            self.failures += SERVICE_FAILURE_WEIGHT * (bad - self.failures)
-
-    def in_time(self, wanted: Wanted, now: float) -> bool:
-        """Tell whether a request can still be answered within its objective."""
-        return now + self.work_s <= (wanted.objective or wanted.deadline)
-
-    def order(self, entry: _Waiting, now: float) -> tuple[int, bool, float]:
-        """Return the place in the queue: priority, then those still in time, then the deadline."""
-        wanted = entry.wanted
-        return wanted.priority, not self.in_time(wanted, now), wanted.deadline
-
-    def rate(self, least: float, now: float) -> float:
-        """Return the requests that were placed a second lately, `least` while there were few."""
-        while self.placed and self.placed[0] <= now - RATE_WINDOW_S:
-            self.placed.popleft()
-        return max(least, len(self.placed) / RATE_WINDOW_S)
-
-
 @dataclass(slots=True, frozen=True)
 class ColdBound:
     """The bound on requests to a cold instance: its own rate times `overshoot` plus `slack`."""
@@ -344,7 +120,7 @@
         self.shares_changed = False
         self._lanes: dict[str, Lane] = {}
         self._gone: dict[str, tuple[Lane, float]] = {}
-        self._services: dict[str, _ServiceState] = {}
+        self._services: dict[str, ServiceState] = {}
         self._senders: dict[str, list[str]] = {}
         self._plans: dict[tuple[str, str, frozenset[str], bool], tuple[str, ...]] = {}
         self._weights: dict[tuple[str, frozenset[str], bool], Mapping[str, float]] = {}
@@ -445,7 +221,7 @@
         if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
             self._suspect_cold(lane, now)
         if outcome == Outcome.OK:
-            state.work_s += WORK_WEIGHT * (seconds - state.work_s)
+            state.took(seconds)
 
     def hear_close(self, upstream: Upstream, now: float) -> None:
         """An answer closed its connection: the instance may be leaving."""
@@ -528,9 +304,9 @@
         """Return the number of requests that wait."""
         return sum(len(state.waiting) for state in self._services.values())
 
-    def _drain_service(self, state: _ServiceState, now: float) -> list[tuple[int, Decision]]:
+    def _drain_service(self, state: ServiceState, now: float) -> list[tuple[int, Decision]]:
         decisions: list[tuple[int, Decision]] = []
-        kept: list[_Waiting] = []
+        kept: list[Waiting] = []
         rate = self._rate(state, state.waiting[0].wanted, now)
         service = state.waiting[0].wanted.service
         open_homes = self._open_lanes(service, now)
@@ -555,7 +331,7 @@
         lanes = [lane for lane in self._lanes.values() if lane.upstream.service == service]
         return {lane.upstream.id for lane in lanes if lane.share(now) < FULL_SHARE}
 
-    def _wait(self, state: _ServiceState, wanted: Wanted, now: float) -> Refused | None:
+    def _wait(self, state: ServiceState, wanted: Wanted, now: float) -> Refused | None:
         """Queue a request if it can be served in time, by its objective or by its deadline."""
         opens_at = self._opens_at(wanted, now)
         if opens_at > now and opens_at + state.work_s >= wanted.deadline:
@@ -569,18 +345,18 @@
         hopeless = now + wait_s + state.work_s >= wanted.deadline
         if (hopeless and not useful) or self.waiting() >= MAX_WAITING:
             return Refused("queue-too-long", self._retry_s(wait_s))
-        state.waiting.append(_Waiting(wanted, now))
+        state.waiting.append(Waiting(wanted, now))
         return None
 
-    def _rate(self, state: _ServiceState, wanted: Wanted, now: float) -> float:
+    def _rate(self, state: ServiceState, wanted: Wanted, now: float) -> float:
         """Return the requests a second that this VM places, its part of the room at the least."""
         slots = self._slots(wanted, now)
         least = slots / self.fleet.size / max(state.work_s, MIN_RETRY_S)
         return state.rate(max(least, 1.0), now)
 
-    def _first(self, state: _ServiceState, wanted: Wanted, now: float) -> bool:
+    def _first(self, state: ServiceState, wanted: Wanted, now: float) -> bool:
         """Tell whether a request that has just come goes before all that wait."""
-        mine = state.order(_Waiting(wanted, now), now)
+        mine = state.order(Waiting(wanted, now), now)
         return all(mine < state.order(entry, now) for entry in state.waiting)
 
     def _slots(self, wanted: Wanted, now: float) -> int:
@@ -732,10 +508,10 @@
             lane.cold_next = now + SPACING_S
         return Placed(lane.upstream, round(load, 2), round(now - lane.heard_at, 3), home)
 
-    def _state(self, service: str) -> _ServiceState:
+    def _state(self, service: str) -> ServiceState:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _ServiceState()
+            state = self._services[service] = ServiceState()
         return state
 
 
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -9,9 +9,11 @@
 from gypsumwind.actors import Actor
 from gypsumwind.board import Board
 from gypsumwind.core.departures import Departure
-from gypsumwind.core.dispatch import ColdBound, Decision, Dispatcher, Outcome, Placed
+from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import Outcome
 from gypsumwind.core.locality import RegionShares
+from gypsumwind.core.placing import Decision, Placed
 from gypsumwind.core.repeats import RepeatBudget
 from gypsumwind.core.restores import ClosedZones, InstanceMemory
 from gypsumwind.core.upstreams import Upstream
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -13,7 +13,8 @@
 
 from gypsumwind.calls import CHUNK_BYTES, HOP_BY_HOP, Answer, Body
 from gypsumwind.connections import Connections
-from gypsumwind.core.dispatch import MAX_PAUSE_S, Outcome, ReportedLoad
+from gypsumwind.core.dispatch import MAX_PAUSE_S
+from gypsumwind.core.instances import Outcome, ReportedLoad
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -11,7 +11,8 @@
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
 from gypsumwind.calls import HOP_BY_HOP, Answer
-from gypsumwind.core.dispatch import Decision, Outcome, Placed, Refused, Wanted
+from gypsumwind.core.instances import Outcome
+from gypsumwind.core.placing import Decision, Placed, Refused, Wanted
 from gypsumwind.core.rules import Kind, Rule
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -7,11 +7,12 @@
 import pykka
 
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
-from gypsumwind.core.dispatch import ReportedLoad, Wanted
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyEntry
+from gypsumwind.core.instances import ReportedLoad
 from gypsumwind.core.membership import Ack, Endpoint, Probe, State
 from gypsumwind.core.ownership import Claim, ClaimReply, HandoverReply, Hold
+from gypsumwind.core.placing import Wanted
 from gypsumwind.core.records import Record
 from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.upstreams import Upstream
--- a/gypsumwind/platform/headers.py
+++ b/gypsumwind/platform/headers.py
@@ -1,6 +1,6 @@
 """Header names and values as the platform's callers and instances write them."""
 
-from gypsumwind.core.dispatch import ReportedLoad
+from gypsumwind.core.instances import ReportedLoad
 from gypsumwind.steering import HeaderNames
 
 HEADERS = HeaderNames(
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -4,19 +4,10 @@
 
 import pytest
 
-from gypsumwind.core.dispatch import (
-    EJECT_S,
-    FULL_SHARE,
-    MAX_PAUSE_S,
-    ColdBound,
-    Dispatcher,
-    Outcome,
-    Placed,
-    Refused,
-    ReportedLoad,
-    Wanted,
-)
+from gypsumwind.core.dispatch import FULL_SHARE, MAX_PAUSE_S, ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import EJECT_S, Outcome, ReportedLoad
+from gypsumwind.core.placing import Placed, Refused, Wanted
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmup import SPACING_S
--- a/tests/core/test_dispatch_machine.py
+++ b/tests/core/test_dispatch_machine.py
@@ -6,16 +6,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 
-from gypsumwind.core.dispatch import (
-    ColdBound,
-    Dispatcher,
-    Outcome,
-    Placed,
-    Refused,
-    ReportedLoad,
-    Wanted,
-)
+from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import Outcome, ReportedLoad
+from gypsumwind.core.placing import Placed, Refused, Wanted
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmup import SPACING_S
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -10,9 +10,10 @@
 from gypsumwind import dispatchers
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
-from gypsumwind.core.dispatch import Outcome, Placed, Wanted
+from gypsumwind.core.instances import Outcome
 from gypsumwind.core.locality import FIRST_SHARE, RegionShares, shares_from_json
 from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.placing import Placed, Wanted
 from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.versions import Version
 from gypsumwind.dispatchers import DispatchActor
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,7 +14,8 @@
 from gypsumwind import stores
 from gypsumwind.calls import Body
 from gypsumwind.connections import Connections
-from gypsumwind.core.dispatch import MAX_PAUSE_S, Outcome
+from gypsumwind.core.dispatch import MAX_PAUSE_S
+from gypsumwind.core.instances import Outcome
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError, StoreError
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -7,7 +7,8 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.calls import Answer, Body
-from gypsumwind.core.dispatch import Outcome, Placed, Refused
+from gypsumwind.core.instances import Outcome
+from gypsumwind.core.placing import Placed, Refused
 from gypsumwind.core.rules import Kind, Part, Rule, ruleset
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.verdict import Verdict
