--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import statistics
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -13,7 +12,7 @@
 import click
 
 from bench.emulator import Emulator, Scene, dispatcher
-from gypsumwind.core import dispatch, instances, locality, warmth
+from gypsumwind.core import dispatch, instances, warmth
 
 WORKERS = 3
 
@@ -75,10 +74,6 @@
     dispatch.RANKED = dispatch.HOMES
 
 
-def _fixed_locality() -> None:
-    locality.LOW_USE, locality.HIGH_USE = 0.0, math.inf
-
-
 def _no_ejection() -> None:
     instances.Lane.eject = lambda self, now: None  # type: ignore[method-assign]
 
@@ -101,7 +96,6 @@
     "cold runs at any home with room": _cold_anywhere,
     "one home": _one_home,
     "two homes, also of hot objects": _two_homes,
-    "fixed local share": _fixed_locality,
     "without leaving instances out": _no_ejection,
     "own sends for load": _own_load_only,
     "without the mean of told loads": _no_mean_load,
--- a/gypsumwind/board.py
+++ b/gypsumwind/board.py
@@ -6,7 +6,6 @@
 
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.departures import Departure
-from gypsumwind.core.locality import RegionShares
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.restores import Closures
@@ -95,7 +94,7 @@
 
 
 class Board:
-    """The latest snapshots; those from `rules` on are of the direct way.
+    """The latest snapshots; rules, upstreams, closed zones and departures are of the direct way.
 
     `steerable` is set once rules and upstreams are known.
     """
@@ -115,7 +114,6 @@
         "upstreams",
         "closed_zones",
         "departures",
-        "region_shares",
         "steerable",
     )
 
@@ -134,5 +132,4 @@
         self.upstreams = UpstreamList()
         self.closed_zones = Closures()
         self.departures: Mapping[str, Departure] = {}
-        self.region_shares: Mapping[str, RegionShares] = {}
         self.steerable = threading.Event()
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -19,7 +19,6 @@
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import Lane, Outcome, ReportedLoad
 from gypsumwind.core.lapses import GracedList
-from gypsumwind.core.locality import RegionShares
 from gypsumwind.core.placement import Place, Site, homes, site_weights
 from gypsumwind.core.placing import Decision, Placed, Refused, Wanted
 from gypsumwind.core.rules import ServicePolicy
@@ -76,9 +75,6 @@
 REMEMBER_S = 30.0
 """Time for which an instance that left the list is remembered: its entry may have lapsed only."""
 
-ADAPT_S = 0.5
-"""Period in which the use of the region's own room is looked at, in seconds."""
-
 MAX_WAITING = 400
 """Requests that wait here at most; beyond it they are refused at once."""
 
@@ -116,8 +112,6 @@
         self._listed = GracedList()
         self._departures = Departures()
         self._warmth = Warmth()
-        self._adapt_at = -math.inf
-        self.shares_changed = False
         self._lanes: dict[str, Lane] = {}
         self._gone: dict[str, tuple[Lane, float]] = {}
         self._services: dict[str, ServiceState] = {}
@@ -265,41 +259,12 @@
         """Place those that wait and find room now; refuse those that are too late."""
         if self._listed.expire(now):
             self._set_lanes(now, math.inf)
-        self._adapt(now)
         decisions: list[tuple[int, Decision]] = []
         for state in self._services.values():
             if state.waiting:
                 decisions.extend(self._drain_service(state, now))
         return decisions
 
-    def _adapt(self, now: float) -> None:
-        """Look from time to time at how much of its own room this region uses."""
-        if now < self._adapt_at:
-            return
-        self._adapt_at = now + ADAPT_S
-        uses: dict[str, list[float]] = {}
-        for lane in self._lanes.values():
-            if lane.region == self._region and now >= max(lane.cold_until, lane.ejected_until):
-                uses.setdefault(lane.upstream.service, []).append(lane.share(now))
-        changed = False
-        for service, shares in uses.items():
-            locality = self._state(service).locality
-            changed |= locality.observe(sum(shares) / len(shares), now)
-        if changed:
-            self._replan()
-        self.shares_changed |= changed
-
-    def shares(self) -> RegionShares:
-        """Return the shares that this VM has come to; clears `shares_changed`."""
-        self.shares_changed = False
-        return RegionShares(self._region, {n: s.locality.share for n, s in self._services.items()})
-
-    def adopt_shares(self, found: RegionShares, now: float) -> None:
-        """Take over what another VM of this region has come to later."""
-        changed = [self._state(n).locality.adopt(share, now) for n, share in found.shares.items()]
-        if any(changed):
-            self._replan()
-
     def waiting(self) -> int:
         """Return the number of requests that wait."""
         return sum(len(state.waiting) for state in self._services.values())
@@ -492,8 +457,7 @@
             else:
                 place = Place(self._region, {region: region for region in self._regions.values()})
                 sites = [Site(la.upstream.id, la.region, la.upstream.slots) for la in lanes]
-            local = self._state(wanted.service).locality.share
-            found = self._weights[scope] = site_weights(sites, place, local)
+            found = self._weights[scope] = site_weights(sites, place)
         return found
 
     def _replan(self) -> None:
--- a/gypsumwind/core/placement.py
+++ b/gypsumwind/core/placement.py
@@ -15,6 +15,9 @@
 
 from gypsumwind.core.rendezvous import rank
 
+LOCAL_SHARE = 1.15
+"""Use of an area's own room against the mean of all, before its keys get homes elsewhere."""
+
 LEAST_WEIGHT = 0.001
 """Weight of all places without room to spare, so that each instance has a place in the order."""
 
@@ -41,11 +44,10 @@
     groups: Mapping[str, str]
 
 
-def area_shares(room: Mapping[str, int], place: Place, local: float) -> dict[str, float]:
+def area_shares(room: Mapping[str, int], place: Place) -> dict[str, float]:
     """Return the part of an area's keys that each area's instances keep; 1 in sum.
 
-    `room` is the slots of each area, `local` the use of an area's own room against the mean of all
-    before its keys get homes elsewhere. Every area is taken to send as many requests as any other.
+    `room` is the slots of each area. Every area is taken to send as many requests as any other.
     An area keeps what its own room carries; the rest goes to areas with room to spare, first in
     its group, as far as that lasts for all of the group's areas that are short.
     """
@@ -53,7 +55,7 @@
     if not total:
         return {}
     even = total / max(1, len(place.groups))
-    keeps = {area: min(1.0, local * room.get(area, 0) / even) for area in place.groups}
+    keeps = {area: min(1.0, LOCAL_SHARE * room.get(area, 0) / even) for area in place.groups}
     spare = {area: max(0.0, slots - even) for area, slots in room.items() if area != place.area}
     shares = {place.area: keeps.get(place.area, 0.0)}
     rest = 1.0 - shares[place.area]
@@ -78,12 +80,12 @@
         shares[area] = shares.get(area, 0.0) + part * left / total
 
 
-def site_weights(sites: Sequence[Site], place: Place, local: float) -> dict[str, float]:
-    """Return the weight of each instance for the keys of callers at a place (area_shares)."""
+def site_weights(sites: Sequence[Site], place: Place) -> dict[str, float]:
+    """Return the weight of each instance for the keys of callers at a place."""
     room: dict[str, int] = {}
     for site in sites:
         room[site.area] = room.get(site.area, 0) + site.slots
-    shares = area_shares(room, place, local)
+    shares = area_shares(room, place)
     total = sum(room.values())
     return {
         site.id: max(
--- a/gypsumwind/core/services.py
+++ b/gypsumwind/core/services.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from gypsumwind.core.instances import NO_EVIDENCE, Outcome
-from gypsumwind.core.locality import Locality
 from gypsumwind.core.placing import Wanted
 
 WORK_WEIGHT = 0.05
@@ -33,7 +32,6 @@
     """Mean time of a service's requests, its share of failures, and those that wait for room."""
 
     work_s: float = FIRST_WORK_S
-    locality: Locality = field(default_factory=Locality)
     failures: float = 0.0
     waiting: list[Waiting] = field(default_factory=list)
     placed: deque[float] = field(default_factory=deque)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -16,10 +16,9 @@
 from gypsumwind.board import Board
 from gypsumwind.connections import Connections
 from gypsumwind.core.departures import Departure
-from gypsumwind.core.locality import RegionShares
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
-from gypsumwind.core.records import CONFIG_SCOPE, ZONES_SCOPE, Record
+from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.restores import Closures, closures_to_json
 from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
 from gypsumwind.core.stops import Phase, Stop
@@ -39,13 +38,7 @@
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
-from gypsumwind.payloads import (
-    CLOSED_ZONES_KEY,
-    RULES_KEY,
-    SHARES_PREFIX,
-    UPSTREAMS_KEY,
-    departure_record,
-)
+from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY, departure_record
 from gypsumwind.peers import Peers, PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
@@ -185,9 +178,7 @@
         cfg, board, rng = self._cfg, self.board, self._rng
         metrics = Metrics(cfg.tenants, lambda: self._eras.current)
         enter = self._stack.enter_context
-        self._dispatch = DispatchActor.start(
-            cfg, self._steering, board, rng, self._spread, self._publish
-        )
+        self._dispatch = DispatchActor.start(cfg, self._steering, board, rng, self._spread)
         spread = SpreadTask(cfg, board, rng)
         self._records = RecordsActor.start(board, cfg.zone, cfg.region, self._dispatch, spread.put)
         self._start_members(enter)
@@ -281,11 +272,6 @@
         """Tell the VMs of the zone of an instance that leaves."""
         self._records.tell(msg.PutRecords((departure_record(departure, self._cfg.zone),)))
 
-    def _publish(self, shares: RegionShares) -> None:
-        """Tell the VMs of the region what part of their keys it keeps."""
-        key, payload = SHARES_PREFIX + shares.region, pack_json(asdict(shares))
-        self._records.tell(msg.PublishRecord(key, ZONES_SCOPE, payload))
-
     def _put(self, key: str, version: Version, doc: Any) -> None:
         record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
         self._records.tell(msg.PutRecords((record,)))
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -12,7 +12,6 @@
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import Outcome
-from gypsumwind.core.locality import RegionShares
 from gypsumwind.core.placing import Decision, Placed
 from gypsumwind.core.repeats import RepeatBudget
 from gypsumwind.core.restores import ClosedZones, InstanceMemory
@@ -35,11 +34,9 @@
         board: Board,
         rng: random.Random,
         spread: Callable[[Departure], None] = lambda departure: None,
-        publish: Callable[[RegionShares], None] = lambda shares: None,
     ) -> None:
         super().__init__()
         self._spread = spread
-        self._publish = publish
         self._cfg = cfg
         self._steering = steering
         self._board = board
@@ -48,7 +45,6 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._memory = InstanceMemory()
         self._closed = ClosedZones()
-        self._adopted: RegionShares | None = None
 
     def handle(self, message: Any) -> Any:
         """Handle the messages about requests, steering, and Tick."""
@@ -112,13 +108,11 @@
         self._drain(now)
 
     def _drain(self, now: float) -> None:
-        """Decide on those that wait, again while a place was given back; tell of new shares."""
+        """Decide on those that wait, again while a place was given back."""
         taken = False
         while not taken:
             decisions = self._dispatcher.drain(now)
             taken = all([self._decide(ticket, decision, now) for ticket, decision in decisions])
-        if self._dispatcher.shares_changed:
-            self._publish(self._dispatcher.shares())
 
     def _decide(self, ticket: int, decision: Decision, now: float) -> bool:
         """Tell the request's thread; False if a place is given back as nobody waits for it."""
@@ -151,10 +145,6 @@
         for up in returned:
             self._keep_out(up, epoch)
         self._dispatcher.set_upstreams(entries, now, epoch, grace_until)
-        shares = board.region_shares.get(self._steering.regions.get(self._cfg.zone, ""))
-        if shares is not None and shares is not self._adopted:
-            self._adopted = shares
-            self._dispatcher.adopt_shares(shares, now)
         self._closed.take(board.closed_zones, now)
         self._dispatcher.set_closed_zones(self._closed.zones, now)
         self._drain(now)
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -7,7 +7,6 @@
 from gypsumwind import messages as msg
 from gypsumwind.board import Heir, VmLoad, ZoneLoad
 from gypsumwind.core.departures import Departure
-from gypsumwind.core.locality import shares_from_json
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.records import Record
 from gypsumwind.core.restores import closures_from_json
@@ -27,7 +26,6 @@
 UPSTREAMS_KEY = "steering/upstreams"
 CLOSED_ZONES_KEY = "steering/closed-zones"
 DEPARTURE_PREFIX = "departure/"
-SHARES_PREFIX = "shares/"
 
 EXPIRING = (HEIR_PREFIX, DEPARTURE_PREFIX)
 """Kinds of records that are unreadable once they have expired."""
@@ -124,6 +122,5 @@
     ZONE_PREFIX: zone_load_from_bytes,
     HEIR_PREFIX: heir_from_bytes,
     DEPARTURE_PREFIX: _departure_from_bytes,
-    SHARES_PREFIX: lambda payload: shares_from_json(unpack_json(payload)),
 }
 """How records are read of which there are many, by what their keys begin with."""
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -1,6 +1,6 @@
 """The actor that owns the versioned records and publishes what is in them."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import pykka
@@ -20,7 +20,6 @@
     HEIR_PREFIX,
     PLACES_KEY,
     RULES_KEY,
-    SHARES_PREFIX,
     TABLE_PREFIX,
     UPSTREAMS_KEY,
     VM_PREFIX,
@@ -171,14 +170,6 @@
             )
         elif record.key.startswith(DEPARTURE_PREFIX):
             board.departures = {**board.departures, value.id: value}
-        elif record.key.startswith(SHARES_PREFIX):
-            board.region_shares = {**board.region_shares, value.region: value}
-            log.info("shares-in-force", region=value.region, shares=_rounded(value.shares))
         self._gate.tell(msg.SyncSteering())
         if board.rules is not None and board.upstreams.by_id:
             board.steerable.set()
-
-
-def _rounded(shares: Mapping[str, float]) -> dict[str, float]:
-    """Return shares as the log tells them."""
-    return {name: round(share, 2) for name, share in shares.items()}
--- a/tests/bench/test_emulator.py
+++ b/tests/bench/test_emulator.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.emulator import Emulator, Scene, baselines, dispatcher, play_all
-from gypsumwind.core import dispatch, locality
+from gypsumwind.core import dispatch
 
 SCENES = {
     "even room": Scene(rate=120, room=(("a1", 3), ("a2", 3), ("k1", 3), ("k2", 3))),
@@ -111,19 +111,3 @@
     scene = Scene(300, 10.0, room, vms_per_zone=6, objects=400, keeps=40)
     totals = Emulator(scene, dispatcher(scene), 1).run()
     assert totals.cold < 1.25 * scene.objects * len(room)
-
-
-def test_region_with_idle_room_of_its_own_serves_more_of_its_callers_in_time(monkeypatch):
-    """Short requests with a tight objective: another region's answer comes late."""
-    scene = dataclasses.replace(
-        BOOKING, rate=65, work_s=0.192, objective_s=0.19, far_s=0.07, slots=3, seconds=24.0
-    )
-
-    def short_region():
-        totals = Emulator(scene, dispatcher(scene), 1).run()
-        asked, in_time = totals.by_region["e"]
-        return in_time / asked
-
-    own = short_region()
-    monkeypatch.setattr(locality, "LOW_USE", 0.0)
-    assert own > short_region() + 0.1
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -7,11 +7,9 @@
 import pykka
 import pytest
 
-from gypsumwind import dispatchers
 from gypsumwind import messages as msg
 from gypsumwind.board import Board
 from gypsumwind.core.instances import Outcome
-from gypsumwind.core.locality import FIRST_SHARE, RegionShares, shares_from_json
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.placing import Placed, Wanted
 from gypsumwind.core.upstreams import Upstream, UpstreamList
@@ -59,46 +57,3 @@
 def test_message_that_fails_does_not_end_the_actor(actor):
     actor.ask(msg.SendEnded(None, Outcome.OK, None, 0.1, False))
     assert isinstance(place(actor, 1).result(1), Placed)
-
-
-class Peer:
-    """A VM's dispatch actor, played by its messages, and its board."""
-
-    def __init__(self, name):
-        self.board = Board(Member(name, "a1", Endpoint("127.0.0.1", 1, 2, 3), 1, State.ALIVE))
-        self.board.upstreams = UpstreamList(Version(0, 1), {"i1": UP})
-        self.told = []
-        steering = SteeringSettings({"a1": "a", "b1": "b"}, 0.2, 64, 10, 1.5, 5, 6, 1)
-        cfg = SimpleNamespace(vm=name, zone="a1")
-        self._actor = DispatchActor(
-            cfg, steering, self.board, random.Random(1), publish=self.told.append
-        )
-        self.tell(msg.SyncSteering())
-
-    def tell(self, message):
-        self._actor.on_receive(message)
-
-    @property
-    def share(self):
-        return self._actor._dispatcher.shares().shares["s"]
-
-
-def test_vm_that_has_just_started_takes_over_the_share_of_its_region(monkeypatch):
-    now = [100.0]
-    monkeypatch.setattr(dispatchers, "monotonic", lambda: now[0])
-    older = Peer("vm-1")
-    for _ in range(60):
-        now[0] += 0.5
-        older.tell(msg.Tick())
-    assert older.told and older.share > FIRST_SHARE
-    other_region = RegionShares("b", {"s": 7.0})
-    started = Peer("vm-2")
-    started.board.region_shares = {"a": older.told[-1], "b": other_region}
-    started.tell(msg.SyncSteering())
-    assert started.share == older.share and not started.told
-
-
-@pytest.mark.parametrize("shares", ["x", {"s": "x"}, {"s": float("nan")}, None])
-def test_malformed_shares_are_unreadable(shares):
-    with pytest.raises(ValueError):
-        shares_from_json({"region": "a", "shares": shares})
