Homes, connections and fixtures each stand once; closures in the project's word

Placing asked for the number of homes at every instance and passed stand-in values for requests without a key; the homes that a key may use are now derived once, and the two costs are functions of their own. New connections are made in one place.

--- a/gypsumwind/connections.py
+++ b/gypsumwind/connections.py
@@ -94,12 +94,7 @@
             if fresh and idle.conn.sock is not None and not _readable(idle.conn.sock):
                 return idle.conn, True
             idle.conn.close()
-        return (
-            TrackedConnection(
-                ip, port, source_address=(self._ip, 0), socket_options=SOCKET_OPTIONS
-            ),
-            False,
-        )
+        return self._new(ip, port), False
 
     def give_back(self, conn: TrackedConnection, keep_s: float | None) -> None:
         """Keep a connection whose last answer was read to its end."""
@@ -120,7 +115,7 @@
         if seconds >= SPARE_FROM_S:
             self._far[ip, port] = _Far(monotonic())
         else:
-            self._far.pop((ip, port), None)
+            self.forget(ip, port)
 
     def forget(self, ip: str, port: int) -> None:
         """No spare connection is wanted to an instance until a request has connected to it."""
@@ -138,9 +133,7 @@
 
     def keep_spare(self, ip: str, port: int, sock: socket.socket) -> None:
         """Keep a connection that no request has used yet."""
-        conn = TrackedConnection(
-            ip, port, source_address=(self._ip, 0), socket_options=SOCKET_OPTIONS
-        )
+        conn = self._new(ip, port)
         conn.sock = sock
         far = self._far.get((ip, port))
         self.give_back(conn, far.keep_s if far else None)
@@ -158,6 +151,12 @@
         for idle in stale:
             idle.conn.close()
 
+    def _new(self, ip: str, port: int) -> TrackedConnection:
+        """Return a connection that is not connected yet."""
+        return TrackedConnection(
+            ip, port, source_address=(self._ip, 0), socket_options=SOCKET_OPTIONS
+        )
+
     def _pop(self, ip: str, port: int) -> _Idle | None:
         with self._lock:
             kept = self._idle.get((ip, port))
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -382,37 +382,41 @@
         lanes = self._open(wanted, now)
         if not lanes:
             return None
-        order = self._open_homes(wanted, lanes)
-        homes = self._homes_of(wanted, lanes[0].upstream.slots, now)
+        places = self._open_homes(wanted, lanes, now)
         best, least = None, math.inf
         for lane in lanes:
             if wanted.key:
-                cost = self._cost(lane, order.get(lane.upstream.id, RANKED), homes, wanted.key, now)
+                cost = self._home_cost(lane, places.get(lane.upstream.id), wanted.key, now)
             else:
-                cost = self._cost(lane, 0, HOMES, "", now) + lane.share(now) + self._distance(lane)
+                cost = self._wait_at(lane, now) + lane.share(now) + self._distance(lane)
             if cost < least:
                 best, least = lane, cost
         if best is None:
             return None
         if wanted.key:
             self._warmth.note(wanted.key, best.upstream.id, now)
-        return self._grant(best, now, order.get(best.upstream.id, 0) == 0)
+        return self._grant(best, now, places.get(best.upstream.id, 0) == 0)
+
+    def _wait_at(self, lane: Lane, now: float) -> float:
+        """Return the wait at an instance in mean times of a request, inf if it has no room."""
+        share = lane.share(now)
+        if share >= FULL_SHARE:
+            return math.inf
+        return max(0.0, share + 1.0 / max(1, lane.upstream.slots) - 1.0)
 
-    def _cost(self, lane: Lane, place: int, homes: int, key: str, now: float) -> float:
-        """Return the wait at an instance in mean times of a request, inf if it has no room.
+    def _home_cost(self, lane: Lane, place: int | None, key: str, now: float) -> float:
+        """Return the cost of a run at a home of a key in mean times of a request, inf elsewhere.
 
-        Those that are no home have none: their cold runs would hold up the objects at home there.
+        A cold run at an instance that is no home would hold up the objects at home there.
         """
-        share = lane.share(now)
-        if place >= homes or share >= FULL_SHARE:
+        if place is None:
             return math.inf
-        slots = max(1, lane.upstream.slots)
-        wait = max(0.0, share + 1.0 / slots - 1.0)
+        wait = self._wait_at(lane, now)
         if place == 0:
             return wait
         if self._warmth.warm(key, lane.upstream.id, now):
             return wait + SECOND_HOME_WORK + self._distance(lane)
-        if share >= SPARE_SHARE:
+        if lane.share(now) >= SPARE_SHARE:
             return math.inf
         return wait + COLD_WORK + self._distance(lane)
 
@@ -426,13 +430,14 @@
     def _distance(self, lane: Lane) -> float:
         return 0.0 if lane.region == self._region else OTHER_REGION_WORK
 
-    def _open_homes(self, wanted: Wanted, lanes: list[Lane]) -> Mapping[str, int]:
+    def _open_homes(self, wanted: Wanted, lanes: list[Lane], now: float) -> Mapping[str, int]:
         """Return the homes of a key by place; the next in order stand in for closed ones."""
         if not wanted.key:
             return {}
         present = {lane.upstream.id for lane in lanes}
         found = [site for site in self._order(wanted) if site in present]
-        return {site: place for place, site in enumerate(found)}
+        homes = self._homes_of(wanted, lanes[0].upstream.slots, now)
+        return {site: place for place, site in enumerate(found[:homes])}
 
     def _order(self, wanted: Wanted) -> tuple[str, ...]:
         """Return the instances at which a key has its homes, the first ones in order."""
--- a/gypsumwind/core/restores.py
+++ b/gypsumwind/core/restores.py
@@ -14,7 +14,7 @@
 from gypsumwind.core.versions import Version
 
 CLOSED_GRACE_S = 10.0
-"""Time, after a restore, for which a zone stays closed whose evacuation the copy misses: operators
+"""Time, after a restore, for which a zone stays closed whose closure the copy misses: operators
 write it again, and a zone that is closed for longer only lends less room."""
 
 MAX_LEFT = 10_000
@@ -111,7 +111,7 @@
     def take(self, found: Closures, now: float) -> None:
         """Take in a whole list.
 
-        An evacuation that was lifted before a restore and came back by it has its old revision.
+        A closure that was lifted before a restore and came back by it has its old revision.
         """
         listed = found.revisions
         restored = self._era is not None and found.version.era > self._era
@@ -123,5 +123,5 @@
         self._era, self._listed = found.version.era, listed
 
     def expire(self, now: float) -> bool:
-        """Open the zones whose evacuation was not written again in time; tell if there are any."""
+        """Open the zones whose closure was not written again in time; tell if there are any."""
         return self._graced.expire(now)
--- a/gypsumwind/core/warmth.py
+++ b/gypsumwind/core/warmth.py
@@ -14,7 +14,6 @@
 MAX_PAIRS = 20_000
 """Pairs of a key and an instance that are remembered; beyond it the oldest are forgotten."""
 
-
 RATE_S = 2.0
 """Time over which the rate of a key is averaged, in seconds."""
 
--- a/tests/bench/test_emulator.py
+++ b/tests/bench/test_emulator.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import ablation
 from bench.emulator import Emulator, Scene, baselines, dispatcher, play_all
 from gypsumwind.core import dispatch
 
@@ -69,16 +70,8 @@
     return sum(run.in_objective for run in runs) / sum(run.asked for run in runs)
 
 
-BOOKING = Scene(
-    rate=266,
-    seconds=10.0,
-    room=(("ka", 4), ("kb", 4), ("ea", 1), ("eb", 1), ("pa", 3), ("pb", 3)),
-    objects=66,
-    keeps=48,
-    work_s=0.48,
-    objective_s=0.4,
-    deadline_s=1.2,
-    burst=(0.0, 0.0, 1.0),
+BOOKING = dataclasses.replace(
+    ablation.BOOKING, seconds=10.0, far_s=Scene().far_s, wave=Scene().wave
 )
 
 
--- a/tests/integration/test_restores.py
+++ b/tests/integration/test_restores.py
@@ -20,11 +20,7 @@
 def fleet(tmp_path, request):
     vms = getattr(request, "param", ("a1",))
     with Site(tmp_path, f"{BLOCK}.9", PLACES, vms) as site:
-        for vm in site.vms.values():
-            vm.start()
-        for vm in site.vms.values():
-            until(vm.ready, text=f"{vm.name} is ready")
-        yield site
+        yield site.start_vms()
 
 
 def log_of(vm):
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from tests.standins import platform
+from tests.standins.fleet import until as wait_until
 from tests.standins.http import QuietHandler, StandIn
 from tests.standins.platform import PlatformStore, settings_lines
 
@@ -194,6 +195,14 @@
             self.store.register(name, instance.address, service, zone)
         return self
 
+    def start_vms(self):
+        """Start all VMs, and return the site once they are ready."""
+        for vm in self.vms.values():
+            vm.start()
+        for vm in self.vms.values():
+            wait_until(vm.ready, text=f"{vm.name} is ready")
+        return self
+
     def __exit__(self, *_):
         for vm in self.vms.values():
             if vm.process is not None and vm.process.poll() is None:
