Log and count the rate limits that instances state

On call, nothing told whether a VM knew of an instance's limit (Server-Limit), from when on, or how many requests it sent since: no line and no metric held one.

Now: the limit of each answer stands in its request-sent line (inf: none named, None: not known); instance-rate-limit tells each change of what a VM believes; gypsumwind_events counts rate-limited-response; rate-limit-odd tells a malformed header, which is ignored. A response lifts a limit only if the instance ran its request and if the request was sent after the limit became known. No decision uses any of it yet.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -21,6 +21,7 @@
 from gypsumwind.core.instances import InstanceState, Outcome, ReportedLoad
 from gypsumwind.core.lapses import GracePeriodList
 from gypsumwind.core.placement import CallerLocality, Candidate, candidate_weights, rank_homes
+from gypsumwind.core.rate_limits import RateLimit, RateLimits
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.services import QueuedRequest, ServiceState
 from gypsumwind.core.upstreams import Upstream
@@ -114,6 +115,7 @@
         self.closed_zones: frozenset[str] = frozenset()
         self._listed = GracePeriodList()
         self._departures = Departures()
+        self._rate_limits = RateLimits()
         self._warm_objects = WarmObjects()
         self._instances: dict[str, InstanceState] = {}
         self._removed: dict[str, tuple[InstanceState, float]] = {}
@@ -253,6 +255,12 @@
         if inst is not None and inst.upstream.incarnation == upstream.incarnation:
             inst.paused_until = max(inst.paused_until, now + min(MAX_PAUSE_S, seconds))
 
+    def record_rate_limit(
+        self, upstream: Upstream, per_s: float, sent_at: float, now: float, epoch: float
+    ) -> RateLimit | None:
+        """Record the rate limit that a response states, inf for none; return it if it is new."""
+        return self._rate_limits.observe(upstream, per_s, sent_at, now, epoch)
+
     def estimate_retry_after_s(self, service: str, now: float) -> float:
         """Return the seconds after which a caller may retry a request that found no capacity.
 
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -94,6 +94,12 @@
         if message.pause_s > 0:
             log.info("instance-paused", instance=up.id, pause_s=message.pause_s)
             self._dispatcher.record_pause(up, message.pause_s, now)
+        if message.rate_limit is not None:
+            limit = self._dispatcher.record_rate_limit(
+                up, message.rate_limit, now - message.seconds, now, wall()
+            )
+            if limit is not None:
+                log.info("instance-rate-limit", instance=up.id, per_s=limit.per_s, heard_s=0.0)
         self._dispatcher.finish(
             message.upstream, message.outcome, message.report, message.seconds, now
         )
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -65,7 +65,8 @@
     """The result of a send: a response for the caller, or an error with its verdict.
 
     `closing`: the response closed its connection. `leaving`: the instance is draining. `pause_s`:
-    the pause that the instance requests with Retry-After, in seconds.
+    the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests per
+    second that it accepts from all VMs, inf if it states no limit, None if the result does not tell.
     """
 
     outcome: str
@@ -75,6 +76,7 @@
     closing: bool = False
     leaving: bool = False
     pause_s: float = 0.0
+    rate_limit: float | None = None
     elapsed_s: float = 0.0
 
 
@@ -212,7 +214,7 @@
         return SendResult(outcome, whole, None, report, closing)
 
     def _backoff_hints(self, up: Upstream, req: Request, response: HTTPResponse) -> dict[str, Any]:
-        """Return the drain and Retry-After signals of an instance, as result fields.
+        """Return the drain, Retry-After and rate limit signals of an instance, as result fields.
 
         A response of another instance or to another request carries no signal of this instance.
         """
@@ -223,7 +225,24 @@
         pause_s = 0.0
         if response.status == 503 and "retry-after" in headers:
             pause_s = _parse_retry_after(up, headers["retry-after"])
-        return {"leaving": headers.get(self._names.leaving) == "1", "pause_s": pause_s}
+        return {
+            "leaving": headers.get(self._names.leaving) == "1",
+            "pause_s": pause_s,
+            "rate_limit": self._stated_rate_limit(up, req, response),
+        }
+
+    def _stated_rate_limit(
+        self, up: Upstream, req: Request, response: HTTPResponse
+    ) -> float | None:
+        """Return the rate limit that a response states, see SendResult.
+
+        Only the response to a request that the instance ran shows that it states none.
+        """
+        headers, names = response.headers, self._names
+        if names.rate_limit in headers:
+            return _parse_rate_limit(up, headers[names.rate_limit])
+        ran = names.signature in headers and headers.get(names.request_id) == req.id
+        return math.inf if ran else None
 
     def _discard_body(self, conn: TrackedConnection, response: HTTPResponse) -> None:
         """Discard a short body; close the connection if the body is long or late."""
@@ -310,6 +329,18 @@
     return min(seconds, MAX_PAUSE_S) if seconds > 0 else 0.0
 
 
+def _parse_rate_limit(up: Upstream, text: str) -> float | None:
+    """Return the requests per second of a rate limit header; None if malformed."""
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = math.nan
+    if 0.0 <= per_s < math.inf:
+        return per_s
+    log.warning("rate-limit-odd", instance=up.id, text=text[:MAX_LOGGED_CHARS])
+    return None
+
+
 def _deadline_failure(conn: TrackedConnection) -> SendResult:
     """Return the result of a send aborted at its deadline, before or during its response."""
     text = f"no whole answer in time, {conn.received} bytes of one"
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -1,6 +1,7 @@
 """Request forwarding in direct mode: one hop from the VM that the caller chose to an instance."""
 
 import itertools
+import math
 from collections.abc import Mapping
 from concurrent.futures import Future, InvalidStateError
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -184,8 +185,11 @@
                     sent.closing,
                     sent.leaving,
                     sent.pause_s,
+                    sent.rate_limit,
                 )
             )
+        if sent.rate_limit is not None and sent.rate_limit < math.inf:
+            self._metrics.event("rate-limited-response")
         log.info(
             "request-sent",
             id=req.id,
@@ -203,6 +207,7 @@
             took_s=round(sent.elapsed_s, 3),
             closing=sent.closing,
             leaving=sent.leaving,
+            rate_limit=sent.rate_limit,
         )
         return sent
 
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -349,7 +349,8 @@
 class SendFinished:
     """To the dispatch actor: outcome and duration of a send, and the load that was reported.
 
-    The instance may report that it is draining (`leaving`), and request a pause (`pause_s`).
+    The instance may report that it is draining (`leaving`), request a pause (`pause_s`) and state a
+    `rate_limit` in requests per second: inf if its response states none, None if that is unknown.
     """
 
     upstream: Upstream
@@ -359,6 +360,7 @@
     closing: bool
     leaving: bool = False
     pause_s: float = 0.0
+    rate_limit: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/platform/headers.py
+++ b/gypsumwind/platform/headers.py
@@ -12,6 +12,7 @@
     signature="gypsumwind-response-signature",
     load="gypsumwind-instance-load",
     leaving="server-leaving",
+    rate_limit="server-limit",
 )
 
 
--- a/gypsumwind/steering.py
+++ b/gypsumwind/steering.py
@@ -28,7 +28,8 @@
     """Names, in lower case, of the headers that callers, VMs and instances exchange.
 
     `not_run` marks the response of an instance that did not run the request, `load` reports its
-    running requests, its waiting requests and its slots, `leaving` that it stops soon.
+    running requests, its waiting requests and its slots, `leaving` that it stops soon, `rate_limit`
+    how many requests per second it accepts from all VMs together.
     """
 
     request_id: str
@@ -39,3 +40,4 @@
     signature: str
     load: str
     leaving: str
+    rate_limit: str
