--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -24,6 +24,7 @@
 
     `mode`: ok, shed, cut (runs, then closes without a response), short (half of the body), extra
     (a second response), unsigned or fail (500). `headers` are sent with every response but a 421.
+    `arrivals` has the time of each request in `received`.
     """
 
     def __init__(self, name, ip="127.0.0.1", service_time_s=0.0):
@@ -34,6 +35,7 @@
         self.headers = {}
         self.ran = []
         self.received = []
+        self.arrivals = []
         self.cancelled = []
         self.lock = threading.Lock()
 
@@ -48,6 +50,7 @@
         request = self.headers.get("Gypsumwind-Request-Id", "")
         with up.lock:
             up.received.append((request, dict(self.headers)))
+            up.arrivals.append(time.monotonic())
         if self.headers.get("Gypsumwind-Target-Instance") != up.name:
             self._answer(421, b"", request, signed=False)
             return
