Keep the rate limits that instances state for all VMs together

Cause: nothing decided by the header. Instances were chosen by load and slots alone, so a limit in requests per second bound nobody. Class: a limit of the whole fleet that an upstream states at run time and that no VM enforces; the fleet-wide limits that existed (cold instances, retries) come from the configuration.

Change: rendezvous hashing selects few VMs for each limited instance (four, and one more for each request per second of the limit, the zones of its region first); each sends at most one request per interval, the others none. In a window of W seconds the fleet sends at most 0.9 x limit x W and one per sender, without a word between VMs; nothing is saved up, so a VM that was frozen sends one when it wakes. A response without the header lifts the limit if the instance ran its request and it was sent after the limit became known. Limits and their ends are gossiped to all zones, since a VM that is no sender hears nothing itself, and since a restarted one should not have to ask. Where all instances are limited, the queue's length follows the shares, and what cannot be sent in time is refused at once.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -7,6 +7,8 @@
 that finds no capacity at any of them is queued: by priority, then those that can still meet their
 objective, then by deadline. It is refused as soon as it cannot be served in time.
 
+An instance that states a rate limit gets only this VM's share of it (core/rate_limits).
+
 Reacts to load: the free capacity of each instance, and the wait for it.
 """
 
@@ -21,7 +23,7 @@
 from gypsumwind.core.instances import InstanceState, Outcome, ReportedLoad
 from gypsumwind.core.lapses import GracePeriodList
 from gypsumwind.core.placement import CallerLocality, Candidate, candidate_weights, rank_homes
-from gypsumwind.core.rate_limits import RateLimit, RateLimits
+from gypsumwind.core.rate_limits import RateLimit, RateLimits, send_interval_s
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.services import QueuedRequest, ServiceState
 from gypsumwind.core.upstreams import Upstream
@@ -78,6 +80,9 @@
 """Time, in seconds, for which the state of an instance that left the list is kept: perhaps only its
 lease has expired."""
 
+MIN_PLACEMENT_RATE_PER_S = 0.01
+"""Lower bound of the estimated placements per second, if all instances have rate limits."""
+
 MAX_QUEUE_LENGTH = 400
 """Maximum number of queued requests; further ones are refused at once."""
 
@@ -115,7 +120,7 @@
         self.closed_zones: frozenset[str] = frozenset()
         self._listed = GracePeriodList()
         self._departures = Departures()
-        self._rate_limits = RateLimits()
+        self._rate_limits = RateLimits(rng)
         self._warm_objects = WarmObjects()
         self._instances: dict[str, InstanceState] = {}
         self._removed: dict[str, tuple[InstanceState, float]] = {}
@@ -129,11 +134,13 @@
         """Return the state of each listed instance, by id."""
         return self._instances
 
-    def set_fleet(self, fleet: Fleet, cold_bound: ColdBound) -> None:
+    def set_fleet(self, fleet: Fleet, cold_bound: ColdBound, now: float) -> None:
         """Set the VMs of the fleet and the cold-start rate limit that they share."""
         self.fleet = fleet
         self.cold_bound = cold_bound
         self._warmup_senders.clear()
+        for inst in self._instances.values():
+            self._update_send_interval(inst, now)
 
     def set_regions(self, regions: Mapping[str, str]) -> None:
         """Set the region of each zone."""
@@ -172,6 +179,7 @@
             inst.departing = self._departures.has_departed(up)
             if up.cold_until > epoch:
                 inst.cold_until = max(inst.cold_until, now + up.cold_until - epoch)
+            self._update_send_interval(inst, now)
             instances[up.id] = inst
         oldest = now - REMOVED_RETENTION_S
         self._removed = {
@@ -258,8 +266,46 @@
     def record_rate_limit(
         self, upstream: Upstream, per_s: float, sent_at: float, now: float, epoch: float
     ) -> RateLimit | None:
-        """Record the rate limit that a response states, inf for none; return it if it is new."""
-        return self._rate_limits.observe(upstream, per_s, sent_at, now, epoch)
+        """Record the rate limit that a response states, inf for none.
+
+        Return the limit if it has to be announced to other VMs.
+        """
+        announced = self._rate_limits.observe(upstream, per_s, sent_at, now, epoch)
+        self._refresh_rate_limit(upstream.id, now)
+        return announced
+
+    def apply_rate_limit(self, limit: RateLimit, now: float) -> bool:
+        """Apply the rate limit that another VM announced; return whether it is news."""
+        if not self._rate_limits.apply(limit, now):
+            return False
+        self._refresh_rate_limit(limit.id, now)
+        return True
+
+    def _refresh_rate_limit(self, name: str, now: float) -> None:
+        inst = self._find(name)
+        if inst is not None and inst.rate_limit != self._rate_limits.per_s(inst.upstream):
+            self._update_send_interval(inst, now)
+
+    def _update_send_interval(self, inst: InstanceState, now: float) -> None:
+        """Set the interval of this VM's sends to an instance from the instance's rate limit.
+
+        The first send of a new sender is delayed at random, so that the senders are spread out.
+        """
+        before = inst.send_interval_s
+        inst.rate_limit = self._rate_limits.per_s(inst.upstream)
+        if inst.rate_limit == math.inf:
+            inst.send_interval_s = 0.0
+            return
+        region_zones = sorted(z for z, region in self._regions.items() if region == inst.region)
+        inst.send_interval_s = interval = send_interval_s(
+            inst.upstream, inst.rate_limit, self.fleet, region_zones
+        )
+        if interval == math.inf:
+            return
+        if before in (0.0, math.inf):
+            delayed = now + interval * self._rng.random()
+            inst.next_limited_send_at = max(inst.next_limited_send_at, delayed)
+        inst.next_limited_send_at = min(inst.next_limited_send_at, now + interval)
 
     def estimate_retry_after_s(self, service: str, now: float) -> float:
         """Return the seconds after which a caller may retry a request that found no capacity.
@@ -283,6 +329,8 @@
         """Place queued requests if there is capacity; refuse those that would end too late."""
         if self._listed.expire(now):
             self._rebuild_instances(now, math.inf)
+        for name in self._rate_limits.expire(now):
+            self._refresh_rate_limit(name, now)
         decisions: list[tuple[int, Decision]] = []
         for state in self._services.values():
             if state.queue:
@@ -349,10 +397,22 @@
         return None
 
     def _placement_rate(self, state: ServiceState, request: PlacementRequest, now: float) -> float:
-        """Return this VM's placements per second, at least its share of the capacity."""
+        """Return this VM's placements per second: at least its share of the capacity, at most the
+        sum of its shares of the rate limits if all instances have one."""
         slots = self._candidate_slots(request, now)
         minimum = slots / self.fleet.size / max(state.service_time_s, MIN_RETRY_S)
-        return state.placement_rate(max(minimum, 1.0), now)
+        rate = state.placement_rate(max(minimum, 1.0), now)
+        return max(MIN_PLACEMENT_RATE_PER_S, min(rate, self._limited_rate(request)))
+
+    def _limited_rate(self, request: PlacementRequest) -> float:
+        """Return the sends per second that rate limits allow this VM, inf without such limits."""
+        total = 0.0
+        for inst in self._instances.values():
+            if self._eligible(inst, request):
+                if inst.send_interval_s == 0.0:
+                    return math.inf
+                total += 1.0 / inst.send_interval_s
+        return total
 
     def _precedes_queue(self, state: ServiceState, request: PlacementRequest, now: float) -> bool:
         """Return whether a new request is ordered before all queued ones."""
@@ -373,17 +433,20 @@
         ]
         instances = [inst for inst in instances if now >= inst.paused_until]
         healthy = [inst for inst in instances if now >= inst.ejected_until]
-        return [inst for inst in healthy or instances if self._warmup_allows(inst, now)]
+        return [
+            inst
+            for inst in healthy or instances
+            if now >= inst.limited_until and self._warmup_allows(inst, now)
+        ]
 
     def _available_at(self, request: PlacementRequest, now: float) -> float:
-        """Return when an instance may get the request: now, after a pause, or never (inf)."""
+        """Return when an instance may get the request: now, after a pause or an interval of its
+        rate limit, or never (inf)."""
         if self._candidates(request, now):
             return now
         instances = [inst for inst in self._instances.values() if self._eligible(inst, request)]
-        return min(
-            (instance.paused_until for instance in instances if instance.paused_until > now),
-            default=math.inf,
-        )
+        times = [max(instance.paused_until, instance.limited_until) for instance in instances]
+        return min((at for at in times if at > now), default=math.inf)
 
     def _eligible(self, inst: InstanceState, request: PlacementRequest) -> bool:
         up = inst.upstream
@@ -543,6 +606,7 @@
         self._service(inst.upstream.service).placement_times.append(now)
         if now < inst.cold_until:
             inst.next_cold_send_at = now + MIN_SEND_INTERVAL_S
+        inst.next_limited_send_at = now + inst.send_interval_s
         return Placed(inst.upstream, round(load, 2), round(now - inst.reported_at, 3), home)
 
     def _service(self, service: str) -> ServiceState:
--- a/gypsumwind/core/fleet.py
+++ b/gypsumwind/core/fleet.py
@@ -4,6 +4,7 @@
 limit is split first over the zones named in the settings, and then over the VMs of a zone.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from gypsumwind.core.rendezvous import rank
@@ -23,13 +24,22 @@
         """Return the assumed number of VMs of the fleet: as many in each zone as in this one."""
         return max(1, len(self.vms)) * max(1, len(self.zones))
 
-    def select_local(self, key: str, count: int) -> list[str]:
+    def select_local(self, key: str, count: int, preferred: Sequence[str] = ()) -> list[str]:
         """Return the VMs of this zone among the `count` VMs of the fleet selected for a key.
 
-        If `count` is not a multiple of the zones, the zones that rank first for the key select one
-        more.
+        See local_count() for the `preferred` zones.
         """
-        zones = sorted(self.zones, key=lambda zone: rank(key, zone), reverse=True)
-        per_zone, rest = divmod(count, len(zones))
-        here = per_zone + (zones.index(self.zone) < rest)
+        here = self.local_count(key, count, preferred)
         return sorted(self.vms, key=lambda vm: rank(key, vm), reverse=True)[:here]
+
+    def local_count(self, key: str, count: int, preferred: Sequence[str] = ()) -> int:
+        """Return how many of the `count` VMs selected for a key are to be in this zone.
+
+        If `count` is not a multiple of the zones, some zones select one more: the `preferred` ones
+        in their order, then those that rank first for the key.
+        """
+        others = [zone for zone in self.zones if zone not in preferred]
+        zones = [zone for zone in preferred if zone in self.zones]
+        zones += sorted(others, key=lambda zone: rank(key, zone), reverse=True)
+        per_zone, rest = divmod(count, len(zones))
+        return per_zone + (zones.index(self.zone) < rest)
--- a/gypsumwind/core/instances.py
+++ b/gypsumwind/core/instances.py
@@ -76,6 +76,9 @@
         "cold_until",
         "next_cold_send_at",
         "paused_until",
+        "rate_limit",
+        "send_interval_s",
+        "next_limited_send_at",
         "marked_draining",
         "departing",
         "misdirected",
@@ -94,6 +97,9 @@
         self.cold_until = -math.inf
         self.next_cold_send_at = -math.inf
         self.paused_until = -math.inf
+        self.rate_limit = math.inf
+        self.send_interval_s = 0.0
+        self.next_limited_send_at = -math.inf
         self.marked_draining = False
         self.departing = False
         self.misdirected = False
@@ -103,6 +109,13 @@
         """Return whether the entry is valid: the instance is not stopping and is at its address."""
         return not self.marked_draining and not self.departing and not self.misdirected
 
+    @property
+    def limited_until(self) -> float:
+        """Return when its rate limit allows the next send by this VM, inf if never."""
+        if self.send_interval_s == 0.0:
+            return -math.inf
+        return self.next_limited_send_at if self.send_interval_s < math.inf else math.inf
+
     def load(self, now: float) -> float:
         """Return the estimated number of requests at the instance: this VM's and other VMs'."""
         freshness = math.exp(-max(0.0, now - self.reported_at) / LOAD_DECAY_S)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -17,6 +17,7 @@
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.restores import ZoneClosures, zone_closures_to_json
 from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
@@ -37,7 +38,14 @@
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
-from gypsumwind.payloads import CLOSED_ZONES_KEY, RULES_KEY, UPSTREAMS_KEY, departure_record
+from gypsumwind.payloads import (
+    CLOSED_ZONES_KEY,
+    RATE_LIMIT_PREFIX,
+    RULES_KEY,
+    UPSTREAMS_KEY,
+    departure_record,
+    rate_limit_to_bytes,
+)
 from gypsumwind.peers import PeerClient, PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
@@ -181,7 +189,12 @@
         metrics = Metrics(cfg.tenants, lambda: self._eras.current)
         enter = self._stack.enter_context
         self._dispatch = DispatchActor.start(
-            cfg, self._steering, snapshots, rng, self._publish_departure
+            cfg,
+            self._steering,
+            snapshots,
+            rng,
+            self._publish_departure,
+            self._publish_rate_limit,
         )
         spread = PushTask(cfg, snapshots, rng)
         self._records = RecordsActor.start(
@@ -296,6 +309,11 @@
         """Publish to the VMs of the zone that an instance is shutting down."""
         self._records.tell(msg.PutRecords((departure_record(departure, self._cfg.zone),)))
 
+    def _publish_rate_limit(self, limit: RateLimit) -> None:
+        """Publish the rate limit of an instance to the VMs of all zones."""
+        key = RATE_LIMIT_PREFIX + limit.id
+        self._records.tell(msg.PublishRecord(key, CONFIG_SCOPE, rate_limit_to_bytes(limit)))
+
     def _put(self, key: str, version: Version, doc: Any) -> None:
         record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
         self._records.tell(msg.PutRecords((record,)))
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -12,6 +12,7 @@
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import Outcome
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.restores import ClosedZones, InstanceHistory
 from gypsumwind.core.retry_budget import FleetRetryBudget
 from gypsumwind.core.upstreams import Upstream
@@ -34,9 +35,11 @@
         snapshots: Snapshots,
         rng: random.Random,
         publish_departure: Callable[[Departure], None] = lambda departure: None,
+        publish_rate_limit: Callable[[RateLimit], None] = lambda limit: None,
     ) -> None:
         super().__init__()
         self._publish_departure = publish_departure
+        self._publish_rate_limit = publish_rate_limit
         self._cfg = cfg
         self._steering = steering
         self._snapshots = snapshots
@@ -68,7 +71,7 @@
                 for budget in self._retry_budgets.values():
                     budget.set_bound(*self._retry_limits())
                 self._dispatcher.set_regions(message.steering.regions)
-                self._dispatcher.set_fleet(self._fleet(), self._cold_bound())
+                self._dispatcher.set_fleet(self._fleet(), self._cold_bound(), now)
                 self._sync(now)
             case msg.Tick():
                 self._tick(now)
@@ -100,6 +103,7 @@
             )
             if limit is not None:
                 log.info("instance-rate-limit", instance=up.id, per_s=limit.per_s, heard_s=0.0)
+                self._publish_rate_limit(limit)
         self._dispatcher.finish(
             message.upstream, message.outcome, message.report, message.seconds, now
         )
@@ -108,7 +112,7 @@
     def _tick(self, now: float) -> None:
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
-            self._dispatcher.set_fleet(fleet, self._cold_bound())
+            self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
         if self._closed_zones.expire(now):
             self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
         self._dispatch_queued(now)
@@ -148,6 +152,12 @@
                 log.info(
                     "instance-departs", instance=name, incarnation=incarnation, heard_s=heard_s
                 )
+        for limit in snapshots.rate_limits.values():
+            if self._dispatcher.apply_rate_limit(limit, now):
+                heard_s = round(wall_now - limit.heard_at, 3)
+                log.info(
+                    "instance-rate-limit", instance=limit.id, per_s=limit.per_s, heard_s=heard_s
+                )
         grace_until = now + snapshots.upstreams.grace_s(wall_now)
         entries, relisted = self._instance_history.apply_list(
             snapshots.upstreams, now < grace_until
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -65,8 +65,8 @@
     """The result of a send: a response for the caller, or an error with its verdict.
 
     `closing`: the response closed its connection. `leaving`: the instance is draining. `pause_s`:
-    the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests per
-    second that it accepts from all VMs, inf if it states no limit, None if the result does not tell.
+    the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests
+    per second that it accepts from all VMs, inf if it states no limit, None if that is unknown.
     """
 
     outcome: str
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -1,5 +1,6 @@
 """Keys and payload types of the records that daemons gossip."""
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import asdict
 from typing import Any
@@ -7,6 +8,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.ownership import Hold
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import Record
 from gypsumwind.core.restores import zone_closures_from_json
 from gypsumwind.core.rules import ruleset_from_json
@@ -26,8 +28,9 @@
 UPSTREAMS_KEY = "steering/upstreams"
 CLOSED_ZONES_KEY = "steering/closed-zones"
 DEPARTURE_PREFIX = "departure/"
+RATE_LIMIT_PREFIX = "rate-limit/"
 
-EXPIRING_PREFIXES = (HEIR_PREFIX, DEPARTURE_PREFIX)
+EXPIRING_PREFIXES = (HEIR_PREFIX, DEPARTURE_PREFIX, RATE_LIMIT_PREFIX)
 """Key prefixes of records that cannot be decoded once they have expired."""
 
 
@@ -91,6 +94,11 @@
     return Record(key, departure.incarnation, scope, pack_json(asdict(departure)))
 
 
+def rate_limit_to_bytes(limit: RateLimit) -> bytes:
+    """Encode the payload of a rate-limit/ record; JSON has no inf, so no limit is null."""
+    return pack_json(asdict(limit) | {"per_s": limit.per_s if limit.per_s < math.inf else None})
+
+
 def _table_from_bytes(payload: bytes) -> ServiceTable:
     return table_from_json(unpack_json(payload))
 
@@ -107,6 +115,17 @@
     return departure
 
 
+def _rate_limit_from_bytes(payload: bytes) -> RateLimit:
+    doc = unpack_json(payload)
+    per_s = math.inf if doc["per_s"] is None else float(doc["per_s"])
+    if not per_s >= 0.0:
+        raise ValueError(f"malformed rate limit: {per_s!r} per second")
+    limit = RateLimit(str(doc["id"]), int(doc["incarnation"]), per_s, float(doc["heard_at"]))
+    if limit.expires <= wall():
+        raise ValueError(f"rate limit of {limit.id!r} has expired")
+    return limit
+
+
 DECODERS_BY_KEY: Mapping[str, Callable[[bytes], Any]] = {
     PLACES_KEY: lambda payload: places_from_json(unpack_json(payload)),
     VMLIST_KEY: unpack_json,
@@ -122,5 +141,6 @@
     ZONE_PREFIX: zone_load_from_bytes,
     HEIR_PREFIX: heir_from_bytes,
     DEPARTURE_PREFIX: _departure_from_bytes,
+    RATE_LIMIT_PREFIX: _rate_limit_from_bytes,
 }
 """Decoders of the other records, by the prefix of their keys."""
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -1,12 +1,14 @@
 """Records actor: stores the versioned records and publishes their decoded values."""
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 import pykka
 
 from gypsumwind import messages as msg
 from gypsumwind.actors import Actor
+from gypsumwind.core.departures import Departure
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
 from gypsumwind.core.routes import build_route
 from gypsumwind.core.table import ServiceTable
@@ -18,6 +20,7 @@
     EXPIRING_PREFIXES,
     HEIR_PREFIX,
     PLACES_KEY,
+    RATE_LIMIT_PREFIX,
     RULES_KEY,
     TABLE_PREFIX,
     UPSTREAMS_KEY,
@@ -34,6 +37,9 @@
 
 log = Log("records")
 
+Expiring = TypeVar("Expiring", Departure, RateLimit)
+"""A value that VMs gossip until it expires."""
+
 
 class RecordsActor(Actor):
     """Stores the versioned records, publishes snapshots of them and pushes new configuration."""
@@ -62,7 +68,7 @@
                 self._prune_heirs()
                 return self._put((self._next_version(message),))
             case msg.GetDigests():
-                self._prune_departures()
+                self._prune_expired()
                 return {scope: self._records.digest(scope) for scope in self._records.scopes()}
             case msg.GetVersions():
                 return self._records.versions(message.scope)
@@ -112,15 +118,19 @@
                 heirs = self._snapshots.heirs
                 self._snapshots.heirs = {h: v for h, v in heirs.items() if h != heir.home}
 
-    def _prune_departures(self) -> None:
-        """Remove the departures that VMs have gossiped for long enough."""
+    def _prune_expired(self) -> None:
+        """Remove the departures and rate limits that VMs have gossiped for long enough."""
         snapshots = self._snapshots
-        expired = [d.id for d in snapshots.departures.values() if d.expires <= wall()]
-        for name in expired:
-            self._records.drop(DEPARTURE_PREFIX + name)
-        if expired:
-            kept = {name: d for name, d in snapshots.departures.items() if name not in expired}
-            snapshots.departures = kept
+        snapshots.departures = self._unexpired(DEPARTURE_PREFIX, snapshots.departures)
+        snapshots.rate_limits = self._unexpired(RATE_LIMIT_PREFIX, snapshots.rate_limits)
+
+    def _unexpired(self, prefix: str, values: Mapping[str, Expiring]) -> Mapping[str, Expiring]:
+        """Drop the records of expired values and return the others."""
+        now = wall()
+        kept = {name: value for name, value in values.items() if value.expires > now}
+        for name in values.keys() - kept.keys():
+            self._records.drop(prefix + name)
+        return kept
 
     def _next_version(self, message: msg.PublishRecord) -> Record:
         known = self._records.get(message.key)
@@ -171,6 +181,8 @@
             )
         elif record.key.startswith(DEPARTURE_PREFIX):
             snapshots.departures = {**snapshots.departures, value.id: value}
+        elif record.key.startswith(RATE_LIMIT_PREFIX):
+            snapshots.rate_limits = {**snapshots.rate_limits, value.id: value}
         self._gate.tell(msg.SyncSteering())
         if snapshots.rules is not None and snapshots.upstreams.by_id:
             snapshots.steering_ready.set()
--- a/gypsumwind/snapshots.py
+++ b/gypsumwind/snapshots.py
@@ -8,6 +8,7 @@
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.restores import ZoneClosures
 from gypsumwind.core.routes import ServiceRoute
 from gypsumwind.core.rules import Ruleset
@@ -94,7 +95,7 @@
 
 
 class Snapshots:
-    """The latest snapshots; rules, upstreams, closed zones and departures are for direct daemons.
+    """The latest snapshots; those from the rules to the rate limits are for direct daemons.
 
     `steering_ready` is set once rules and upstreams are known.
     """
@@ -114,6 +115,7 @@
         "upstreams",
         "closed_zones",
         "departures",
+        "rate_limits",
         "steering_ready",
     )
 
@@ -132,4 +134,5 @@
         self.upstreams = UpstreamList()
         self.closed_zones = ZoneClosures()
         self.departures: Mapping[str, Departure] = {}
+        self.rate_limits: Mapping[str, RateLimit] = {}
         self.steering_ready = threading.Event()
--- /dev/null
+++ b/tests/core/test_rate_limits.py
@@ -0,0 +1,135 @@
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumwind.core.decisions import Placed, PlacementRequest, Refused
+from gypsumwind.core.dispatch import ColdBound, Dispatcher
+from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.instances import Outcome
+from gypsumwind.core.rate_limits import MAX_AGE_S, RateLimit, RateLimits, send_interval_s
+from gypsumwind.core.upstreams import Upstream
+
+WINDOW_S = 4.0
+UP = Upstream("i-1", 1, "s", "127.0.0.1", 1, "z0", 4)
+OTHER = Upstream("i-2", 1, "s", "127.0.0.1", 2, "z1", 4)
+INF = math.inf
+
+
+def allowed(per_s):
+    return 1.5 * per_s * WINDOW_S + 5
+
+
+def fleets_of(counts):
+    """Return the view of each VM of a fleet with these numbers of VMs in its zones."""
+    zones = {f"z{n}": tuple(f"vm-{n}-{i}" for i in range(count)) for n, count in enumerate(counts)}
+    return [Fleet(vm, zone, vms, tuple(zones)) for zone, vms in zones.items() for vm in vms]
+
+
+def intervals(per_s, fleets, up=UP):
+    found = [send_interval_s(up, per_s, fleet, ["z0", "z1"]) for fleet in fleets]
+    return [interval for interval in found if 0 < interval < INF]
+
+
+@given(st.lists(st.integers(1, 30), min_size=1, max_size=9), st.floats(0, 40) | st.floats(0, 1e308))
+def test_senders_together_stay_within_a_limit_in_every_window(counts, per_s):
+    found = intervals(per_s, fleets_of(counts))
+    assert sum(math.floor(WINDOW_S / s) + 1 for s in found) <= allowed(per_s)
+
+
+@pytest.mark.parametrize("counts", [[2] * 6, [2, 2, 2, 1, 1, 1], [13, 15, 14, 16, 16, 13], [40]])
+def test_most_of_a_limit_is_used_and_the_zone_of_the_instance_sends(counts):
+    for per_s in (0.5, 2.7, 5.6, 20.0):
+        found = intervals(per_s, fleets_of(counts))
+        assert 0.5 * per_s <= sum(1 / s for s in found) <= per_s
+        assert intervals(per_s, [f for f in fleets_of(counts) if f.zone == "z0"])
+
+
+def test_missing_vm_in_a_view_selects_at_most_one_more_sender():
+    vms = tuple(f"vm-{n}" for n in range(40))
+
+    def senders(view):
+        fleets = [Fleet(vm, "z0", view, ("z0",)) for vm in view]
+        return {f.vm for f in fleets if send_interval_s(UP, 5.6, f, ["z0"]) < INF}
+
+    for lost in vms:
+        assert len(senders(tuple(vm for vm in vms if vm != lost)) - senders(vms)) <= 1
+
+
+def dispatcher_of(fleet, upstreams=(UP, OTHER)):
+    regions = dict.fromkeys(fleet.zones, "a")
+    dispatcher = Dispatcher(regions, fleet, ColdBound(1.5, 5.0), random.Random(fleet.vm))
+    dispatcher.set_upstreams(upstreams, 0.0, 1000.0)
+    return dispatcher
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_fleet_under_load_with_frozen_vms_stays_within_a_stated_limit(seed):
+    """Each VM sends 8 requests/s and learns the limit from its own responses alone."""
+    rng, per_s, step_s, latency_s = random.Random(seed), 2.7, 0.05, 0.2
+    vms = [dispatcher_of(fleet) for fleet in fleets_of([2] * 6)]
+    arrivals, ended, served = [], [], 0
+    for tick in range(1200):
+        now = tick * step_s
+        while ended and ended[0][0] <= now:
+            _, vm, up, sent_at = ended.pop(0)
+            vm.finish(up, Outcome.OK, None, latency_s, now)
+            vm.record_rate_limit(up, per_s if up is UP else INF, sent_at, now, now)
+        for number, vm in enumerate(vms):
+            frozen = number < 4 and int(now) % 20 in range(10, 16)
+            if frozen or rng.random() > 8 * step_s:
+                continue
+            placed = vm.place(PlacementRequest(tick, "s", "", 1, now + 0.1), now)
+            if isinstance(placed, Placed):
+                served += 1
+                ended.append((now + latency_s, vm, placed.upstream, now))
+                arrivals += [now] * (placed.upstream is UP)
+    settled = [t for t in arrivals if t >= 4.0]
+    assert max(sum(t <= u < t + WINDOW_S for u in settled) for t in settled) <= allowed(per_s)
+    assert len(settled) > 0.5 * per_s * 56 and served > 3000
+
+
+def test_service_whose_instances_are_all_limited_queues_or_refuses_at_once():
+    fleets = fleets_of([20])
+    senders = {f.vm for f in fleets if send_interval_s(UP, 1.0, f, ["z0"]) < INF}
+    for fleet in fleets:
+        dispatcher = dispatcher_of(fleet, (UP,))
+        dispatcher.record_rate_limit(UP, 1.0, 0.0, 0.0, 1000.0)
+        decisions = [
+            dispatcher.place(PlacementRequest(n, "s", "", 1, 60.0), 0.0) for n in range(99)
+        ]
+        refused = [d for d in decisions if isinstance(d, Refused)]
+        assert len(refused) == 99 if fleet.vm not in senders else 70 < len(refused) < 99
+        assert all(d.retry_after_s > 0 for d in refused)
+
+
+def test_response_to_an_earlier_request_does_not_lift_a_limit():
+    limits = RateLimits(random.Random(1))
+    assert limits.observe(UP, 2.0, 0.0, 1.0, 1001.0).per_s == 2.0
+    assert limits.observe(UP, INF, 0.9, 1.2, 1001.2) is None and limits.per_s(UP) == 2.0
+    assert limits.observe(UP, INF, 1.1, 1.3, 1001.3).per_s == INF and limits.per_s(UP) == INF
+
+
+def test_restarted_instance_has_no_limit_and_older_news_do_not_replace_newer():
+    limits = RateLimits(random.Random(1))
+    restarted = Upstream("i-1", 2, "s", "127.0.0.1", 1, "z0", 4)
+    limits.observe(UP, 2.0, 0.0, 1.0, 1001.0)
+    assert limits.per_s(restarted) == INF
+    assert not limits.apply(RateLimit("i-1", 1, INF, 1000.5), 1.1) and limits.per_s(UP) == 2.0
+    assert limits.apply(RateLimit("i-1", 1, INF, 1001.5), 1.6) and limits.per_s(UP) == INF
+    assert limits.apply(RateLimit("i-1", 2, 3.0, 1001.2), 1.7) and limits.per_s(restarted) == 3.0
+
+
+def test_changing_limit_is_announced_at_most_once_a_second():
+    limits = RateLimits(random.Random(1))
+    announced = [limits.observe(UP, 2.0 + n / 100, 0.0, n / 10, n / 10) for n in range(31)]
+    assert sum(limit is not None for limit in announced) == 4 and limits.per_s(UP) == 2.3
+
+
+def test_limit_that_nothing_confirms_is_forgotten():
+    limits = RateLimits(random.Random(1))
+    limits.apply(RateLimit("i-1", 1, 2.0, 1000.0), 0.0)
+    assert limits.expire(MAX_AGE_S - 1) == [] and limits.expire(2 * MAX_AGE_S) == ["i-1"]
+    assert limits.per_s(UP) == INF
--- a/tests/integration/test_rate_limits.py
+++ b/tests/integration/test_rate_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.standins.fleet import wait_until
 from tests.standins.steered import DirectFleet
 
 INSTANCES = [("i-1", "lookup", "a1"), ("i-2", "lookup", "a1")]
@@ -57,3 +58,21 @@
     settled = [t for t in limited.arrivals if t >= limited.arrivals[0] + SETTLE_S]
     assert most_in_a_window(settled) <= ALLOWED
     assert set(statuses) == {200} and settled
+
+
+def test_every_vm_learns_a_limit_and_its_end_from_the_others(fleet):
+    limited = fleet.instances["i-1"]
+    one, other, far = fleet.vms.values()
+    limited.headers = {"Server-Limit": "0.01"}
+    send_steadily(fleet, one, 1)
+    belief = "instance-rate-limit instance='i-1' per_s="
+    wait_until(lambda: all(f"{belief}0.01" in vm.log_path.read_text() for vm in (other, far)))
+    far.kill()
+    far.start()
+    wait_until(far.ready)
+    wait_until(lambda: far.log_path.read_text().count(f"{belief}0.01") == 2)
+    limited.headers = {"Server-Limit": "50"}
+    wait_until(lambda: send_steadily(fleet, one, 1) and f"{belief}50" in fleet.logs(), 60)
+    limited.headers = {}
+    wait_until(lambda: send_steadily(fleet, one, 1) and f"{belief}inf" in fleet.logs(), 60)
+    wait_until(lambda: all(f"{belief}inf" in vm.log_path.read_text() for vm in (other, far)))
