Signals in the head of a response take effect if its body is cut or late

If the body was cut, or not whole by the deadline, its leaving (Server-Leaving), the pause it asked for and its rate limit were dropped, and the VM went on sending; an instance in trouble is the one that states a limit and breaks off answers.

The head is now evaluated before the body is read. Heads that name another request, and 421, still carry no signal. Test: test_signals_in_the_head_of_a_broken_response_take_effect failed in both cases (closed, silent) before.

--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -41,6 +41,9 @@
 REFUSAL_BODY_TIMEOUT_S = 0.25
 """Longest wait for the body of a refusal, in seconds; instances send it along with the head."""
 
+BROKEN_EXCHANGE = (HTTPException, HTTPError, OSError, ValueError)
+"""Exceptions that a send without a whole response may raise."""
+
 BODILESS_STATUSES = frozenset((204, 304))
 NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
 SUPPRESSED_HEADERS = ("user-agent", "accept-encoding")
@@ -141,23 +144,14 @@
                 self._write(conn, up, req, left)
             conn.timeout = max(0.001, req.deadline - monotonic())
             response = conn.getresponse()
+        except BROKEN_EXCHANGE as exc:
+            return _broken_exchange(conn, exc)
+        signals = self._signals(up, req, response)
+        try:
             sent = self._read(conn, response, req)
-            return replace(sent, **self._backoff_hints(up, req, response))
-        except TimeoutError as exc:
-            conn.close()
-            return _failure(
-                Outcome.LATE, Code.DEADLINE_EXCEEDED, f"no answer: {exc}", Verdict.MAY_HAVE_RUN, 504
-            )
-        except (HTTPException, HTTPError, OSError, ValueError) as exc:
-            conn.close()
-            if conn.expired:
-                return _deadline_failure(conn)
-            if cancelled():
-                return _failure(
-                    Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.MAY_HAVE_RUN, 499
-                )
-            text = f"answer cut: {type(exc).__name__}: {exc}"
-            return _failure(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+        except BROKEN_EXCHANGE as exc:
+            sent = _broken_exchange(conn, exc)
+        return replace(sent, **signals)
 
     def _write(self, conn: TrackedConnection, up: Upstream, req: Request, left: float) -> None:
         headers = dict(req.headers)
@@ -213,8 +207,8 @@
         outcome = Outcome.FAILED if response.status >= 500 else Outcome.OK
         return SendResult(outcome, whole, None, report, closing)
 
-    def _backoff_hints(self, up: Upstream, req: Request, response: HTTPResponse) -> dict[str, Any]:
-        """Return the drain, Retry-After and rate limit signals of an instance, as result fields.
+    def _signals(self, up: Upstream, req: Request, response: HTTPResponse) -> dict[str, Any]:
+        """Return the signals in the head of a response (drain, Retry-After, rate limit), as fields.
 
         A response of another instance or to another request carries no signal of this instance.
         """
@@ -302,6 +296,21 @@
         )
 
 
+def _broken_exchange(conn: TrackedConnection, exc: Exception) -> SendResult:
+    """Close the connection and return the result of a send without a whole response."""
+    conn.close()
+    if isinstance(exc, TimeoutError):
+        return _failure(
+            Outcome.LATE, Code.DEADLINE_EXCEEDED, f"no answer: {exc}", Verdict.MAY_HAVE_RUN, 504
+        )
+    if conn.expired:
+        return _deadline_failure(conn)
+    if cancelled():
+        return _failure(Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.MAY_HAVE_RUN, 499)
+    text = f"answer cut: {type(exc).__name__}: {exc}"
+    return _failure(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+
+
 def _chain(buffered: list[bytes], source: Iterator[bytes]) -> Iterator[bytes]:
     """Yield the buffered and remaining chunks; raise if truncated, lest the body look complete."""
     yield from buffered
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,5 +1,6 @@
 """Malformed, truncated and unbounded responses of instances."""
 
+import math
 import random
 import socket
 import threading
@@ -116,6 +117,29 @@
         assert sent.outcome == Outcome.CUT and sent.error.code is Code.UPSTREAM_FAILED
 
 
+@pytest.mark.parametrize("more", [None, b""], ids=["closed", "silent"])
+def test_signals_in_the_head_of_a_broken_response_take_effect(hangups, more):
+    head = OK + b"Server-Leaving: 1\r\nServer-Limit: 2.5\r\nContent-Length: 9\r\n\r\nhalf"
+    with server(head, more, 0.0) as (address, _):
+        sent, _ = send(hangups, address)
+        assert sent.answer is None
+        assert sent.leaving and sent.rate_limit == 2.5
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "nan", "inf", "5 5", "0x5"])
+def test_malformed_rate_limit_is_ignored(hangups, text):
+    head = OK + f"Server-Limit: {text}\r\n".encode() + END
+    with server(head, b"", 0.0) as (address, _):
+        sent, _ = send(hangups, address)
+        assert sent.outcome == Outcome.OK and sent.rate_limit is None
+
+
+def test_only_a_response_of_the_instance_shows_that_it_states_no_rate_limit(hangups):
+    for head, per_s in ((OK, math.inf), (REFUSAL, None)):
+        with server(head + END, b"", 0.0) as (address, _):
+            assert send(hangups, address)[0].rate_limit == per_s
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["flood", "trickle"])
 @pytest.mark.parametrize("head", [b"\r\n", b"Content-Length: 9999\r\n\r\n"], ids=["open", "long"])
 def test_refusal_takes_effect_by_the_deadline_whatever_its_body(hangups, head, pause_s):
