Give the zones of a limited instance's region the largest parts of its limit

Now the zones of the region take a turn before each of the others; the sum and the number of senders stay as they are. Each other zone is still a sender for some instances, for services that run in one region.

Tests: shares by zone (test_zones_of_the_instances_region_send_most_...).

--- a/gypsumwind/core/fleet.py
+++ b/gypsumwind/core/fleet.py
@@ -35,11 +35,12 @@
     def local_count(self, key: str, count: int, preferred: Sequence[str] = ()) -> int:
         """Return how many of the `count` VMs selected for a key are to be in this zone.
 
-        If `count` is not a multiple of the zones, some zones select one more: the `preferred` ones
-        in their order, then those that rank first for the key.
+        The zones take turns until `count` is reached: the `preferred` ones in their order, then one
+        of the others by rank for the key, and again. So each zone has a part, preferred ones more.
         """
+        near = [zone for zone in preferred if zone in self.zones]
         others = [zone for zone in self.zones if zone not in preferred]
-        zones = [zone for zone in preferred if zone in self.zones]
-        zones += sorted(others, key=lambda zone: rank(key, zone), reverse=True)
-        per_zone, rest = divmod(count, len(zones))
-        return per_zone + (zones.index(self.zone) < rest)
+        others.sort(key=lambda zone: rank(key, zone), reverse=True)
+        turns = [zone for other in others for zone in (*near, other)] or near
+        rounds, rest = divmod(count, len(turns))
+        return rounds * turns.count(self.zone) + turns[:rest].count(self.zone)
--- a/gypsumwind/core/rate_limits.py
+++ b/gypsumwind/core/rate_limits.py
@@ -41,7 +41,7 @@
     """Return the minimum interval between this VM's sends to an instance, in seconds.
 
     0 if the instance has no limit, inf if this VM is not among its senders. The zones of its
-    region, its own first, have the most senders.
+    region, its own first, have the largest parts of the limit, since most of its callers are there.
     """
     if per_s >= MAX_RATE_PER_S:
         return 0.0
--- a/tests/core/test_dispatch_machine.py
+++ b/tests/core/test_dispatch_machine.py
@@ -1,10 +1,11 @@
 """State machine test of the dispatcher: its counts and constraints hold in any order of events."""
 
+import math
 import random
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, initialize, invariant, rule
 
 from gypsumwind.core.decisions import Placed, PlacementRequest, Refused
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
@@ -26,6 +27,7 @@
     Outcome.CANCELLED,
 )
 EPOCH = 1000.0
+INF = math.inf
 
 
 class DispatcherMachine(RuleBasedStateMachine):
@@ -48,6 +50,13 @@
         self.ticket = 0
         self.departed = {}
         self.paused = {}
+        self.limits = {}
+        self.limited_sends = {}
+
+    @initialize()
+    def warm_instances_are_listed(self):
+        zones = dict(zip(["i0", "i1", "i2"], ZONES, strict=True))
+        self.list_changes({name: (False, zone, False, 0.0) for name, zone in zones.items()})
 
     @rule(
         entries=st.dictionaries(
@@ -85,6 +94,12 @@
             until = self.paused.get((name, up.incarnation), 0.0)
             self.paused[name, up.incarnation] = max(until, self.now + seconds)
 
+    @rule(per_s=st.sampled_from([0.5, 2.0, INF]))
+    def all_state_a_rate_limit(self, per_s):
+        for up in self.listed.values():
+            self.dispatcher.record_rate_limit(up, per_s, INF, self.now, EPOCH + self.now)
+            self.limits[up.id, up.incarnation] = per_s
+
     @rule(zones=st.frozensets(st.sampled_from(list(ZONES))))
     def zones_are_closed(self, zones):
         self.closed_zones = zones
@@ -146,6 +161,10 @@
             last = self.cold_sends.get((up.id, up.incarnation), -MIN_SEND_INTERVAL_S)
             assert self.now - last >= MIN_SEND_INTERVAL_S - 1e-6
             self.cold_sends[up.id, up.incarnation] = self.now
+        limit = self.limits.get((up.id, up.incarnation), INF)
+        last = self.limited_sends.get((up.id, up.incarnation), -INF)
+        assert limit == INF or self.now - last >= 1 / limit
+        self.limited_sends[up.id, up.incarnation] = self.now
         self.in_flight.append(up)
         return up
 
--- a/tests/core/test_rate_limits.py
+++ b/tests/core/test_rate_limits.py
@@ -47,6 +47,15 @@
         assert intervals(per_s, [f for f in fleets_of(counts) if f.zone == "z0"])
 
 
+def test_zones_of_the_instances_region_send_most_and_each_other_zone_to_some_instances():
+    ups = [Upstream(f"i-{n}", 1, "s", "127.0.0.1", n, "z0", 4) for n in range(40)]
+    rates = dict.fromkeys((f"z{n}" for n in range(6)), 0.0)
+    for fleet in fleets_of([2] * 6):
+        rates[fleet.zone] += sum(1 / s for up in ups for s in intervals(2.7, [fleet], up))
+    near, far = [rates["z0"], rates["z1"]], [rates[f"z{n}"] for n in range(2, 6)]
+    assert min(near) > 2 * max(far) and min(far) > 0
+
+
 def test_missing_vm_in_a_view_selects_at_most_one_more_sender():
     vms = tuple(f"vm-{n}" for n in range(40))
 
