Share rate limits out by callers, and place the homes of objects by them

The emulator shows two causes that do, if more instances have a limit. (1) Objects keep their homes at limited instances, so a region whose instances are all limited refuses while other regions have room: 660 of 3,063 requests refused or failed with the six instances of one region at 4 per second. (2) A limit was split without regard to who sends: two thirds were used at most, and a region that has its homes elsewhere had next to no share: 298 of 1,996 lost at 100 requests/s although the limits summed to 128.

Change: an instance counts as a home with the slots that its limit lets it keep busy, so that keys move to where there is room; a limit is divided into parts that zones get by the share of its requests that their callers send, the same figure by which homes are placed; a VM with several parts may send as many at once (token bucket). The sum over the fleet and the bound on requests at once stay as they were. The service time is taken from the objective, not from what a VM measured: with measured ones the VMs' parts did not add up (0.98 of the limits used where 0.9 is meant).

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -22,6 +22,7 @@
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import Outcome, ReportedLoad
+from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.rendezvous import rank
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
@@ -68,6 +69,9 @@
     slow: tuple[tuple[str, ...], float, float, float] = ((), 0.0, 0.0, 1.0)
     """Slow instances, start, end, and the factor on their service time."""
 
+    rate_limits: tuple[tuple[str, float], ...] = ()
+    """Instances that state a limit in their responses, and its requests per second."""
+
     skew: float = 0.0
     """Zipf exponent: the object of rank n is requested in proportion to 1 / n ** skew."""
 
@@ -98,6 +102,12 @@
         """Record the outcome of a send."""
         ...
 
+    def record_rate_limit(
+        self, upstream: Upstream, per_s: float, sent_at: float, now: float, epoch: float
+    ) -> RateLimit | None:
+        """Record the rate limit that a response states, inf for none."""
+        ...
+
     def drain_queue(self, now: float) -> list[tuple[int, Decision]]:
         """Return the decisions on queued requests."""
         ...
@@ -141,6 +151,12 @@
             reported = report.running + report.waiting - self._own[upstream.id]
             self._others[upstream.id] = max(0.0, reported)
 
+    def record_rate_limit(
+        self, upstream: Upstream, per_s: float, sent_at: float, now: float, epoch: float
+    ) -> RateLimit | None:
+        """Ignore the limit."""
+        return None
+
     def drain_queue(self, now: float) -> list[tuple[int, Decision]]:
         """Return nothing: requests are never queued."""
         return []
@@ -176,6 +192,7 @@
     shed: int = 0
     ran: int = 0
     cache_misses: int = 0
+    ran_by_instance: dict[str, int] = field(default_factory=dict)
     seconds: list[float] = field(default_factory=list)
     by_window: dict[int, list[int]] = field(default_factory=dict)
     """By windows of WINDOW_S: requests, and those answered within their objective."""
@@ -249,6 +266,7 @@
             for zone, _ in scenario.instances_per_zone
         }
         self._pending: dict[int, tuple[Job, Placement, frozenset[str]]] = {}
+        self._rate_limits = dict(scenario.rate_limits)
 
     def run(self) -> Totals:
         """Run the simulation to its end and return the results."""
@@ -392,6 +410,8 @@
         late = began >= job.began + scenario.deadline_s
         cached = inst.touch(job.key)
         self.totals.ran += 1
+        ran = self.totals.ran_by_instance
+        ran[inst.up.id] = ran.get(inst.up.id, 0) + 1
         self.totals.cache_misses += not cached
         work = (
             scenario.service_time_s
@@ -415,6 +435,8 @@
         took = self.now - job.began
         whole = took <= self.scenario.deadline_s
         vm.finish(inst.up, Outcome.OK if whole else Outcome.LATE, report, seconds, self.now)
+        per_s = self._rate_limits.get(inst.up.id, math.inf)
+        vm.record_rate_limit(inst.up, per_s, self.now - seconds, self.now, self.now)
         self.totals.failed += not whole
         if took <= self.scenario.objective_s:
             self.totals.in_objective += 1
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -22,10 +22,22 @@
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import InstanceState, Outcome, ReportedLoad
 from gypsumwind.core.lapses import GracePeriodList
-from gypsumwind.core.placement import CallerLocality, Candidate, candidate_weights, rank_homes
-from gypsumwind.core.rate_limits import RateLimit, RateLimits, send_interval_s
+from gypsumwind.core.placement import (
+    CallerLocality,
+    Candidate,
+    area_shares,
+    candidate_weights,
+    rank_homes,
+)
+from gypsumwind.core.rate_limits import (
+    UNLIMITED,
+    RateLimit,
+    RateLimits,
+    effective_slots,
+    send_pace,
+)
 from gypsumwind.core.rules import ServicePolicy
-from gypsumwind.core.services import QueuedRequest, ServiceState
+from gypsumwind.core.services import INITIAL_SERVICE_TIME_S, QueuedRequest, ServiceState
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.core.warmth import WarmObjects
 from gypsumwind.core.warmup import MIN_SEND_INTERVAL_S, warmup_senders
@@ -80,6 +92,10 @@
 """Time, in seconds, for which the state of an instance that left the list is kept: perhaps only its
 lease has expired."""
 
+MIN_LIMIT_SHARE = 0.02
+"""Minimum share of a region's requests that is assumed to go to each other region, so that all
+zones have parts of some rate limits."""
+
 MIN_PLACEMENT_RATE_PER_S = 0.01
 """Lower bound of the estimated placements per second, if all instances have rate limits."""
 
@@ -117,6 +133,7 @@
         self.fleet = fleet
         self.cold_bound = cold_bound
         self.policies: Mapping[str, ServicePolicy] = {}
+        self.objectives: Mapping[str, float] = {}
         self.closed_zones: frozenset[str] = frozenset()
         self._listed = GracePeriodList()
         self._departures = Departures()
@@ -139,8 +156,7 @@
         self.fleet = fleet
         self.cold_bound = cold_bound
         self._warmup_senders.clear()
-        for inst in self._instances.values():
-            self._update_send_interval(inst, now)
+        self._update_paces(self._instances.values(), now)
 
     def set_regions(self, regions: Mapping[str, str]) -> None:
         """Set the region of each zone."""
@@ -179,7 +195,7 @@
             inst.departing = self._departures.has_departed(up)
             if up.cold_until > epoch:
                 inst.cold_until = max(inst.cold_until, now + up.cold_until - epoch)
-            self._update_send_interval(inst, now)
+            inst.rate_limit = self._rate_limits.per_s(up)
             instances[up.id] = inst
         oldest = now - REMOVED_RETENTION_S
         self._removed = {
@@ -192,6 +208,7 @@
         }
         self._instances = instances
         self._clear_rankings()
+        self._update_paces(instances.values(), now)
 
     def _find(self, name: str) -> InstanceState | None:
         """Return the state of an instance, also if it left the list recently."""
@@ -282,30 +299,53 @@
         return True
 
     def _refresh_rate_limit(self, name: str, now: float) -> None:
-        inst = self._find(name)
-        if inst is not None and inst.rate_limit != self._rate_limits.per_s(inst.upstream):
-            self._update_send_interval(inst, now)
-
-    def _update_send_interval(self, inst: InstanceState, now: float) -> None:
-        """Set the interval of this VM's sends to an instance from the instance's rate limit.
+        inst = self._instances.get(name)
+        if inst is None or inst.rate_limit == self._rate_limits.per_s(inst.upstream):
+            return
+        before = self._effective_slots(inst)
+        inst.rate_limit = self._rate_limits.per_s(inst.upstream)
+        if self._effective_slots(inst) == before:
+            self._update_paces([inst], now)
+        else:
+            self._clear_rankings()
+            self._update_paces(self._instances.values(), now)
 
-        The first send of a new sender is delayed at random, so that the senders are spread out.
+    def _update_paces(self, instances: Iterable[InstanceState], now: float) -> None:
+        """Set this VM's shares of the rate limits of instances, by the callers of each zone."""
+        weights: dict[tuple[str, str], Mapping[str, float]] = {}
+        for inst in instances:
+            if inst.rate_limit == math.inf:
+                inst.pacer.set_pace(UNLIMITED, now, 0.0)
+                continue
+            scope = (inst.upstream.service, inst.region)
+            if scope not in weights:
+                weights[scope] = self._zone_weights(*scope)
+            pace = send_pace(inst.upstream.id, inst.rate_limit, self.fleet, weights[scope])
+            inst.pacer.set_pace(pace, now, self._rng.random())
+
+    def _zone_weights(self, service: str, region: str) -> dict[str, float]:
+        """Return the relative number of requests that each zone sends to instances in a region."""
+        capacity: dict[str, float] = {}
+        for inst in self._instances.values():
+            if inst.upstream.service == service:
+                slots = self._effective_slots(inst)
+                capacity[inst.region] = capacity.get(inst.region, 0.0) + slots
+        groups = {name: name for name in self._regions.values()}
+        weights = {}
+        for zone in self.fleet.zones:
+            home = self._regions.get(zone, "")
+            siblings = sum(name == home for name in self._regions.values())
+            share = area_shares(capacity, CallerLocality(home, groups)).get(region, 0.0)
+            weights[zone] = max(MIN_LIMIT_SHARE, share) / max(1, siblings)
+        return weights
+
+    def _effective_slots(self, inst: InstanceState) -> float:
+        """Return the slots of an instance, less if its rate limit keeps it from using all of them.
+
+        The service time is estimated from the objective, which all VMs know, as they have to agree.
         """
-        before = inst.send_interval_s
-        inst.rate_limit = self._rate_limits.per_s(inst.upstream)
-        if inst.rate_limit == math.inf:
-            inst.send_interval_s = 0.0
-            return
-        region_zones = sorted(z for z, region in self._regions.items() if region == inst.region)
-        inst.send_interval_s = interval = send_interval_s(
-            inst.upstream, inst.rate_limit, self.fleet, region_zones
-        )
-        if interval == math.inf:
-            return
-        if before in (0.0, math.inf):
-            delayed = now + interval * self._rng.random()
-            inst.next_limited_send_at = max(inst.next_limited_send_at, delayed)
-        inst.next_limited_send_at = min(inst.next_limited_send_at, now + interval)
+        objective_s = self.objectives.get(inst.upstream.service, INITIAL_SERVICE_TIME_S)
+        return effective_slots(inst.upstream.slots, inst.rate_limit, objective_s / 2)
 
     def estimate_retry_after_s(self, service: str, now: float) -> float:
         """Return the seconds after which a caller may retry a request that found no capacity.
@@ -406,13 +446,11 @@
 
     def _limited_rate(self, request: PlacementRequest) -> float:
         """Return the sends per second that rate limits allow this VM, inf without such limits."""
-        total = 0.0
-        for inst in self._instances.values():
-            if self._eligible(inst, request):
-                if inst.send_interval_s == 0.0:
-                    return math.inf
-                total += 1.0 / inst.send_interval_s
-        return total
+        return sum(
+            inst.pacer.rate_per_s
+            for inst in self._instances.values()
+            if self._eligible(inst, request)
+        )
 
     def _precedes_queue(self, state: ServiceState, request: PlacementRequest, now: float) -> bool:
         """Return whether a new request is ordered before all queued ones."""
@@ -436,7 +474,7 @@
         return [
             inst
             for inst in healthy or instances
-            if now >= inst.limited_until and self._warmup_allows(inst, now)
+            if now >= inst.pacer.next_at and self._warmup_allows(inst, now)
         ]
 
     def _available_at(self, request: PlacementRequest, now: float) -> float:
@@ -445,7 +483,7 @@
         if self._candidates(request, now):
             return now
         instances = [inst for inst in self._instances.values() if self._eligible(inst, request)]
-        times = [max(instance.paused_until, instance.limited_until) for instance in instances]
+        times = [max(instance.paused_until, instance.pacer.next_at) for instance in instances]
         return min((at for at in times if at > now), default=math.inf)
 
     def _eligible(self, inst: InstanceState, request: PlacementRequest) -> bool:
@@ -582,16 +620,16 @@
             if request.bulky:
                 locality = CallerLocality(self._zone, self._regions)
                 candidates = [
-                    Candidate(instance.upstream.id, instance.upstream.zone, instance.upstream.slots)
-                    for instance in instances
+                    Candidate(inst.upstream.id, inst.upstream.zone, self._effective_slots(inst))
+                    for inst in instances
                 ]
             else:
                 locality = CallerLocality(
                     self._region, {region: region for region in self._regions.values()}
                 )
                 candidates = [
-                    Candidate(instance.upstream.id, instance.region, instance.upstream.slots)
-                    for instance in instances
+                    Candidate(inst.upstream.id, inst.region, self._effective_slots(inst))
+                    for inst in instances
                 ]
             found = self._weights[scope] = candidate_weights(candidates, locality)
         return found
@@ -606,7 +644,7 @@
         self._service(inst.upstream.service).placement_times.append(now)
         if now < inst.cold_until:
             inst.next_cold_send_at = now + MIN_SEND_INTERVAL_S
-        inst.next_limited_send_at = now + inst.send_interval_s
+        inst.pacer.record_send(now)
         return Placed(inst.upstream, round(load, 2), round(now - inst.reported_at, 3), home)
 
     def _service(self, service: str) -> ServiceState:
--- a/gypsumwind/core/instances.py
+++ b/gypsumwind/core/instances.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from gypsumwind.core.rate_limits import Pacer
 from gypsumwind.core.upstreams import Upstream
 
 LOAD_DECAY_S = 0.5
@@ -77,8 +78,7 @@
         "next_cold_send_at",
         "paused_until",
         "rate_limit",
-        "send_interval_s",
-        "next_limited_send_at",
+        "pacer",
         "marked_draining",
         "departing",
         "misdirected",
@@ -98,8 +98,7 @@
         self.next_cold_send_at = -math.inf
         self.paused_until = -math.inf
         self.rate_limit = math.inf
-        self.send_interval_s = 0.0
-        self.next_limited_send_at = -math.inf
+        self.pacer = Pacer()
         self.marked_draining = False
         self.departing = False
         self.misdirected = False
@@ -109,13 +108,6 @@
         """Return whether the entry is valid: the instance is not stopping and is at its address."""
         return not self.marked_draining and not self.departing and not self.misdirected
 
-    @property
-    def limited_until(self) -> float:
-        """Return when its rate limit allows the next send by this VM, inf if never."""
-        if self.send_interval_s == 0.0:
-            return -math.inf
-        return self.next_limited_send_at if self.send_interval_s < math.inf else math.inf
-
     def load(self, now: float) -> float:
         """Return the estimated number of requests at the instance: this VM's and other VMs'."""
         freshness = math.exp(-max(0.0, now - self.reported_at) / LOAD_DECAY_S)
--- a/gypsumwind/core/placement.py
+++ b/gypsumwind/core/placement.py
@@ -26,11 +26,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Candidate:
-    """An instance that can be a home: its id, its area (a zone or a region) and its slots."""
+    """An instance that can be a home: its id, its area (a zone or a region) and its slots.
+
+    `slots` is a fraction if the instance has a rate limit.
+    """
 
     id: str
     area: str
-    slots: int
+    slots: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,7 +47,7 @@
     groups: Mapping[str, str]
 
 
-def area_shares(capacity: Mapping[str, int], locality: CallerLocality) -> dict[str, float]:
+def area_shares(capacity: Mapping[str, float], locality: CallerLocality) -> dict[str, float]:
     """Return the share of the keys of `locality.area` that each area serves; the sum is 1.
 
     `capacity` is the slots of each area. All areas are assumed to send the same number of requests.
@@ -95,7 +98,7 @@
     candidates: Sequence[Candidate], locality: CallerLocality
 ) -> dict[str, float]:
     """Return the weight of each instance for the keys of the callers of an area."""
-    capacity: dict[str, int] = {}
+    capacity: dict[str, float] = {}
     for candidate in candidates:
         capacity[candidate.area] = capacity.get(candidate.area, 0) + candidate.slots
     shares = area_shares(capacity, locality)
--- a/gypsumwind/core/rate_limits.py
+++ b/gypsumwind/core/rate_limits.py
@@ -1,20 +1,24 @@
 """Rate limits that instances state in their responses, for the requests of all VMs together.
 
-A VM knows a limit from its own sends and by gossip. Rendezvous hashing selects a few VMs for each
-limited instance; each of them sends at most one request per interval, and no other VM sends any. So
-the fleet stays within the limit without coordination, even while VMs are partitioned.
+A VM knows a limit from its own sends and by gossip. It is divided into equal parts: each zone gets
+parts by the share of the instance's requests that its callers send, and rendezvous hashing selects
+the VMs of the zone that use them. So the fleet stays within the limit without coordination, even
+while VMs are partitioned.
 """
 
 import math
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from gypsumwind.core.fleet import Fleet
+from gypsumwind.core.placement import rank_homes
 from gypsumwind.core.upstreams import Upstream
 
-BURST = 4
-"""Senders of an instance whose limit is near zero; all may send at once, which exceeds its limit
-for a moment. Each request per second of the limit adds one sender."""
+MIN_PARTS = 4
+MAX_PARTS = 50
+"""Number of parts of a limit near zero, and of a high one; each request per second adds one. A part
+allows one request at once, so all of them together exceed the limit for a moment."""
 
 USED_FRACTION = 0.9
 """Fraction of a limit that is used: VMs' views of a zone differ for a while after a change."""
@@ -37,22 +41,102 @@
 """Maximum number of instances whose limits are kept; the oldest are evicted."""
 
 
-def send_interval_s(up: Upstream, per_s: float, fleet: Fleet, region_zones: list[str]) -> float:
-    """Return the minimum interval between this VM's sends to an instance, in seconds.
+@dataclass(slots=True, frozen=True)
+class SendPace:
+    """A VM's share of a rate limit: the mean interval between its sends to the instance, in
+    seconds, and how many it may send at once.
 
-    0 if the instance has no limit, inf if this VM is not among its senders. The zones of its
-    region, its own first, have the largest parts of the limit, since most of its callers are there.
+    The interval is 0 if the instance has no limit, and inf if this VM has no share of it.
     """
+
+    interval_s: float
+    burst: int = 1
+
+
+UNLIMITED = SendPace(0.0)
+NO_SHARE = SendPace(math.inf)
+
+
+def send_pace(
+    instance: str, per_s: float, fleet: Fleet, zone_weights: Mapping[str, float]
+) -> SendPace:
+    """Return this VM's share of an instance's limit; zones get parts in proportion to weights."""
     if per_s >= MAX_RATE_PER_S:
-        return 0.0
-    rate = max(MIN_RATE_PER_S, USED_FRACTION * per_s)
-    count = int(BURST + per_s)
-    preferred = [up.zone, *(zone for zone in region_zones if zone != up.zone)]
-    senders = fleet.select_local(up.id, count, preferred)
+        return UNLIMITED
+    count = min(MAX_PARTS, int(MIN_PARTS + per_s))
+    parts = zone_parts(instance, count, zone_weights).get(fleet.zone, 0)
+    senders = fleet.rank_local(instance)[:parts]
     if fleet.vm not in senders:
-        return math.inf
-    zone_rate = rate * fleet.local_count(up.id, count, preferred) / count
-    return len(senders) / zone_rate
+        return NO_SHARE
+    part_per_s = max(MIN_RATE_PER_S, USED_FRACTION * per_s) / count
+    return SendPace(len(senders) / (parts * part_per_s), parts // len(senders))
+
+
+def zone_parts(instance: str, count: int, weights: Mapping[str, float]) -> dict[str, int]:
+    """Divide `count` parts over zones; those that rank first for the instance get the remainders.
+
+    The weights have a positive sum.
+    """
+    total = sum(weights.values())
+    exact = {zone: count * weight / total for zone, weight in weights.items()}
+    parts = {zone: int(part) for zone, part in exact.items()}
+    remainders = {zone: exact[zone] - parts[zone] for zone in exact}
+    for zone in rank_homes(instance, remainders)[: count - sum(parts.values())]:
+        parts[zone] += 1
+    return parts
+
+
+def effective_slots(slots: int, per_s: float, service_time_s: float) -> float:
+    """Return the slots that an instance with a rate limit can keep busy, at most `slots`.
+
+    Powers of the square root of 2, so that small changes of a limit do not move homes.
+    """
+    if per_s >= MAX_RATE_PER_S:
+        return slots
+    busy = max(MIN_RATE_PER_S, per_s) * service_time_s
+    return min(slots, 2.0 ** (round(2 * math.log2(busy)) / 2))
+
+
+class Pacer:
+    """Token bucket of this VM's sends to one instance; `pace.burst` tokens at most.
+
+    `next_at` is when the next send is allowed: -inf without a limit, inf without a share of it.
+    """
+
+    __slots__ = ("pace", "next_at", "_full_at")
+
+    def __init__(self) -> None:
+        self.pace = UNLIMITED
+        self.next_at = -math.inf
+        self._full_at = -math.inf
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return the sends per second that are allowed, inf without a limit."""
+        return 1.0 / self.pace.interval_s if self.pace.interval_s > 0 else math.inf
+
+    def set_pace(self, pace: SendPace, now: float, delay: float) -> None:
+        """Change the pace; the first send of a new sender waits for `delay` intervals, below 1."""
+        before, self.pace = self.pace, pace
+        if pace not in (UNLIMITED, NO_SHARE):
+            empty_until = now + pace.burst * pace.interval_s
+            if before in (UNLIMITED, NO_SHARE):
+                self._full_at = max(self._full_at, empty_until - (1.0 - delay) * pace.interval_s)
+            self._full_at = min(self._full_at, empty_until)
+        self._set_next()
+
+    def record_send(self, now: float) -> None:
+        """Take the token of a send."""
+        self._full_at = max(now, self._full_at) + self.pace.interval_s
+        self._set_next()
+
+    def _set_next(self) -> None:
+        if self.pace.interval_s == 0.0:
+            self.next_at = -math.inf
+        elif self.pace.interval_s == math.inf:
+            self.next_at = math.inf
+        else:
+            self.next_at = self._full_at - (self.pace.burst - 1) * self.pace.interval_s
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/core/rules.py
+++ b/gypsumwind/core/rules.py
@@ -120,6 +120,17 @@
             return frozenset()
         return frozenset(region for rule in rules for region in rule.regions)
 
+    def objectives(self) -> dict[str, float]:
+        """Return the shortest latency objective of the rules to each service, in seconds."""
+        found: dict[str, float] = {}
+        for rules in self.rules.values():
+            for rule in rules:
+                for part in rule.parts:
+                    found[part.service] = min(
+                        rule.objective_s, found.get(part.service, rule.objective_s)
+                    )
+        return found
+
 
 def ruleset(
     version: int,
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -15,6 +15,7 @@
 from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.restores import ClosedZones, InstanceHistory
 from gypsumwind.core.retry_budget import FleetRetryBudget
+from gypsumwind.core.rules import Ruleset
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.log import Log
 from gypsumwind.settings import Settings
@@ -48,6 +49,7 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._instance_history = InstanceHistory()
         self._closed_zones = ClosedZones()
+        self._rules: Ruleset | None = None
 
     def handle(self, message: Any) -> Any:
         """Handle request and steering messages, and Tick."""
@@ -142,8 +144,10 @@
 
     def _sync(self, now: float) -> None:
         snapshots = self._snapshots
-        if snapshots.rules is not None:
-            self._dispatcher.policies = snapshots.rules.services
+        if snapshots.rules is not self._rules and snapshots.rules is not None:
+            self._rules = snapshots.rules
+            self._dispatcher.policies = self._rules.services
+            self._dispatcher.objectives = self._rules.objectives()
         wall_now = wall()
         for departure in snapshots.departures.values():
             name, incarnation = departure.id, departure.incarnation
--- a/tests/bench/test_emulator.py
+++ b/tests/bench/test_emulator.py
@@ -50,6 +50,23 @@
     assert served > worst.in_objective + worst.late
 
 
+def test_requests_run_elsewhere_if_all_instances_of_their_region_are_rate_limited():
+    limited = tuple((f"{zone}-{n}", 4.0) for zone in ("t1", "t2") for n in range(3))
+    scenario = Scenario(rate=150, seconds=20.0, burst=(0.0, 0.0, 1.0), rate_limits=limited)
+    totals = Emulator(scenario, dispatcher(scenario), 7).run()
+    assert totals.refused + totals.failed < 0.01 * totals.requests
+    assert totals.in_objective > 0.9 * totals.requests
+
+
+def test_load_below_the_sum_of_all_rate_limits_is_served():
+    """One region has two of the sixteen instances and a third of the callers."""
+    zones = Scenario().instances_per_zone
+    limited = tuple((f"{zone}-{n}", 8.0) for zone, count in zones for n in range(count))
+    scenario = Scenario(rate=100, seconds=20.0, burst=(0.0, 0.0, 1.0), rate_limits=limited)
+    totals = Emulator(scenario, dispatcher(scenario), 7).run()
+    assert totals.refused + totals.failed < 0.05 * totals.requests
+
+
 def test_queueing_by_objective_answers_more_in_time_than_queueing_by_deadline():
     scenario = Scenario(rate=1000, seconds=6.0, burst=(0.0, 0.0, 1.0))
     with_objective, without_objective = (
