--- a/tests/core/test_rate_limits.py
+++ b/tests/core/test_rate_limits.py
@@ -106,6 +106,7 @@
     assert effective_slots(6, INF, 0.25) == effective_slots(6, 100.0, 0.25) == 6
     steps = {effective_slots(6, per_s / 100, 0.25) for per_s in range(300, 600)}
     assert len(steps) <= 4 and max(steps) < 2
+    assert effective_slots(6, 0.0, 0.25) == effective_slots(6, 2.0, 0.0) > 0
 
 
 def dispatcher_of(fleet, upstreams=(UP, OTHER)):
