A limited instance stays the home of some objects, however low its limit

Callers with few objects would not use such an instance again for 10 to 20 minutes. It now counts with a sixteenth of its slots at least: what exceeds its limit runs at the second home. The test sends a new object with each request, as test_fleet_keeps_... needs too; its checks are the same.

The check in windows is unchanged.

--- a/gypsumwind/core/rate_limits.py
+++ b/gypsumwind/core/rate_limits.py
@@ -29,8 +29,9 @@
 MAX_RATE_PER_S = 1e6
 """Limits from this rate on have no effect."""
 
-MIN_SLOTS = 0.01
-"""Minimum effective slots of an instance: it stays the home of a few objects."""
+MIN_SLOT_SHARE = 1 / 16
+"""Minimum share of its slots with which an instance is the home of objects, however low its limit:
+their requests show when it is lifted."""
 
 MAX_AGE_S = 600.0
 """Time, in seconds, after which a limit that was not confirmed is forgotten, with jitter of up to
@@ -96,7 +97,7 @@
     """
     if per_s >= MAX_RATE_PER_S:
         return slots
-    busy = max(MIN_SLOTS, per_s * service_time_s)
+    busy = max(MIN_SLOT_SHARE * slots, per_s * service_time_s)
     return min(slots, 2.0 ** (round(2 * math.log2(busy)) / 2))
 
 
--- a/tests/core/test_rate_limits.py
+++ b/tests/core/test_rate_limits.py
@@ -57,7 +57,7 @@
     weights = {f"z{n}": weight for n, (_, weight) in enumerate(zones)}
     found = paces(per_s, fleets_of([count for count, _ in zones]), weights)
     sent = sum(pace.burst + math.floor(WINDOW_S / pace.interval_s) for pace in found)
-    assert sent <= allowed(per_s) and rate_of(found) <= max(per_s, 0.1)
+    assert sent <= allowed(per_s) and rate_of(found) <= max(per_s, 0.1) * (1 + 1e-9)
 
 
 @pytest.mark.parametrize("counts", [[2] * 6, [2, 2, 2, 1, 1, 1], [13, 15, 14, 16, 16, 13], [40]])
--- a/tests/integration/test_rate_limits.py
+++ b/tests/integration/test_rate_limits.py
@@ -34,7 +34,7 @@
     statuses = []
     for n in range(int(seconds * REQUESTS_PER_S)):
         time.sleep(max(0.0, begin + n / REQUESTS_PER_S - time.monotonic()))
-        headers = {"Gypsumwind-Affinity-Key": str(n)}
+        headers = {"Gypsumwind-Affinity-Key": f"{begin}-{n}"}
         answer = fleet.send(vm, request=f"{vm.name}-{begin}-{n}", headers=headers)
         statuses.append(answer.status)
     return statuses
