Log what repeats of a request share, and crashes of instances

Now request-sent has the request's fingerprint (xxh3 of method, host, target, the caller's credentials and the body, or its length if it is streamed) and whether the instance crashed: after a lost answer the VM connects to its address once, for half a second at most; refused means crashed, and an accepted connection goes into the pool. gypsumwind_events counts instance-crashed. No decision uses any of it yet.

--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -92,6 +92,11 @@
         """Return whether the body can be sent (again)."""
         return self._buffered is not None or not self._started
 
+    @property
+    def buffered(self) -> bytes | None:
+        """Return the whole body, or None if it is streamed."""
+        return self._buffered
+
     @property
     def unread(self) -> bool:
         """Return whether bytes of the body may be left on the caller's connection."""
--- a/gypsumwind/connections.py
+++ b/gypsumwind/connections.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 
+from urllib3.exceptions import HTTPError
 from urllib3.util import wait_for_read
 
 from gypsumwind.hangups import TrackedConnection
@@ -146,6 +147,21 @@
         distant = self._distant.get((ip, port))
         self.release(conn, distant.keep_alive_s if distant else None)
 
+    def refuses(self, ip: str, port: int, timeout_s: float) -> bool:
+        """Return whether an instance refuses a connection; one that it accepts is pooled.
+
+        False if there is no reply within `timeout_s` seconds.
+        """
+        conn = self._new(ip, port)
+        conn.timeout = timeout_s
+        try:
+            conn.connect()
+        except (HTTPError, OSError) as exc:
+            conn.close()
+            return isinstance(_origin(exc), ConnectionRefusedError)
+        self.release(conn, None)
+        return False
+
     def sweep(self) -> None:
         """Close the connections that have been idle too long to be reused."""
         now = monotonic()
@@ -176,6 +192,11 @@
             return last
 
 
+def _origin(exc: Exception) -> BaseException:
+    """Return the exception from which the client library raised this one."""
+    return exc.__cause__ or exc
+
+
 def _readable(sock: socket.socket) -> bool:
     """Return whether an idle connection was closed by its peer or has unexpected bytes."""
     try:
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -32,6 +32,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Longest wait for a connection: well over the retransmission of a lost SYN."""
 
+CRASH_CHECK_TIMEOUT_S = 0.5
+"""Longest wait, in seconds, for an instance to refuse a connection: well over a round trip."""
+
 MAX_LOGGED_CHARS = 40
 """Characters of a malformed header value that go into a log line."""
 
@@ -52,7 +55,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """A caller's request as it is sent to any instance; `deadline` is on this VM's clock."""
+    """A caller's request as it is sent to any instance; `deadline` is on this VM's clock.
+
+    Repeats of a request have the same `fingerprint`, whatever their ids.
+    """
 
     id: str
     method: str
@@ -61,6 +67,7 @@
     body: Body
     deadline: float
     repeatable: bool
+    fingerprint: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +77,8 @@
     `closing`: the response closed its connection. `leaving`: the instance is draining. `pause_s`:
     the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests
     per second that it accepts from all VMs, inf if it states no limit, None if that is unknown.
+    `crashed`: the instance ended while it had the request, as nothing listens at its address any
+    more.
     """
 
     outcome: str
@@ -80,6 +89,7 @@
     leaving: bool = False
     pause_s: float = 0.0
     rate_limit: float | None = None
+    crashed: bool = False
     elapsed_s: float = 0.0
 
 
@@ -109,7 +119,14 @@
         except BaseException:
             conn.close()
             raise
-        return replace(sent, elapsed_s=monotonic() - started)
+        elapsed_s = monotonic() - started
+        crashed = sent.outcome == Outcome.CUT and self._has_crashed(up, req)
+        return replace(sent, elapsed_s=elapsed_s, crashed=crashed)
+
+    def _has_crashed(self, up: Upstream, req: Request) -> bool:
+        """Return whether an instance refuses connections; False if that is not known in time."""
+        left = min(req.deadline - monotonic(), CRASH_CHECK_TIMEOUT_S)
+        return left > 0 and not cancelled() and self._connections.refuses(up.ip, up.port, left)
 
     def _connect(self, conn: TrackedConnection, kept: bool, req: Request) -> SendResult | None:
         left = req.deadline - monotonic()
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -12,6 +12,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.calls import HOP_BY_HOP, Answer
 from gypsumwind.core.decisions import Decision, Placed, PlacementRequest, Refused
+from gypsumwind.core.fingerprints import request_fingerprint
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.rules import RequestKind, Rule
 from gypsumwind.core.verdict import Verdict
@@ -33,6 +34,9 @@
 DEADLINE_MARGIN_S = 0.02
 """Part of a deadline that is reserved for answering the caller before it passes."""
 
+CALLER_HEADERS = ("authorization", "cookie")
+"""Headers by which instances tell callers apart."""
+
 DEFAULT_RETRY_AFTER_S = 0.25
 """Retry-After, in seconds, without a configuration or if no slot was assigned in time."""
 
@@ -88,9 +92,9 @@
 
     def serve(self, ex: Exchange, rule: Rule, arrived: float) -> Answer:
         """Return the response to a request; RequestError if no instance responds in time."""
-        req = self._request(ex, rule, arrived)
         ex.body.buffer_small(MAX_REPLAY_BODY_BYTES)
         ex.body.buffer_chunked(MAX_REPLAY_BODY_BYTES)
+        req = self._request(ex, rule, arrived)
         key = ex.headers.get(self._names.affinity, "") if rule.sticky else ""
         service = rule.service_for(req.id)
         exclude: frozenset[str] = frozenset()
@@ -139,6 +143,7 @@
             ex.body,
             arrived + remaining_s,
             rule.kind.repeatable,
+            _fingerprint(ex),
         )
 
     def _place(self, placement_request: PlacementRequest, req: Request) -> Placed | RequestError:
@@ -208,7 +213,11 @@
             closing=sent.closing,
             leaving=sent.leaving,
             rate_limit=sent.rate_limit,
+            fingerprint=req.fingerprint,
+            crashed=sent.crashed,
         )
+        if sent.crashed:
+            self._metrics.event("instance-crashed")
         return sent
 
     def _should_retry_failure(
@@ -248,6 +257,13 @@
         )
 
 
+def _fingerprint(ex: Exchange) -> str:
+    """Return the fingerprint of a request, once its body is buffered or known to be streamed."""
+    caller = (ex.headers.get(name, "") for name in CALLER_HEADERS)
+    parts = (ex.method, ex.headers.get("host", ""), ex.target, *caller)
+    return request_fingerprint(parts, ex.body.buffered, ex.body.length)
+
+
 def _forwarded_headers(headers: Mapping[str, str], names: HeaderNames) -> dict[str, str]:
     """Return the headers to forward: all but the hop-by-hop ones and those set for each send."""
     listed = {name.strip().lower() for name in headers.get("connection", "").split(",")}
