Failing test: a request that crashes its instances soon reaches none (KNOWN-RED)

Three daemons in two zones, eight instances that crash for two seconds under one path, which is sent to each VM in turn four times a second under new ids, beside 30 other requests a second.

--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -1,6 +1,9 @@
 """Threaded HTTP server on which the stand-ins are built."""
 
+import socket
 import threading
+import time
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 
@@ -27,6 +30,24 @@
     request_queue_size = 512
     allow_reuse_address = True
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._connections = set()
+
+    def process_request(self, request, client_address):
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._connections.discard(request)
+        super().shutdown_request(request)
+
+    def reset_connections(self):
+        """Close all connections, also those on which a request is being served."""
+        for sock in self._connections.copy():
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request, client_address):
         """Suppress the traceback: tests close connections within requests."""
 
@@ -39,12 +60,26 @@
         self.server.standin = self
         self.address = f"{ip}:{self.server.server_port}"
         self.url = f"http://{self.address}"
-        self._thread = threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True)
+
+    def _start(self):
+        serve = self.server.serve_forever
+        threading.Thread(target=serve, args=(0.05,), daemon=True).start()
 
     def __enter__(self):
-        self._thread.start()
+        self._start()
         return self
 
     def __exit__(self, *_):
         self.server.shutdown()
         self.server.server_close()
+
+    def restart(self, pause_s):
+        """Stop at once, reset all connections and listen again after `pause_s` seconds."""
+        handler, address = self.server.RequestHandlerClass, self.server.server_address
+        self.server.socket.shutdown(socket.SHUT_RDWR)
+        self.server.reset_connections()
+        StandIn.__exit__(self)
+        time.sleep(pause_s)
+        self.server = _ThreadedServer(address, handler)
+        self.server.standin = self
+        self._start()
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -25,6 +25,9 @@
     `mode`: ok, shed, cut (runs, then closes without a response), short (half of the body), extra
     (a second response), unsigned or fail (500). `headers` are sent with every response but a 421.
     `arrivals` has the time of each request in `received`.
+
+    A request whose path is in `deadly` crashes the instance, for `restart_s`; `crashes` has the
+    times.
     """
 
     def __init__(self, name, ip="127.0.0.1", service_time_s=0.0):
@@ -36,6 +39,9 @@
         self.ran = []
         self.received = []
         self.arrivals = []
+        self.deadly = ()
+        self.restart_s = 2.0
+        self.crashes = []
         self.cancelled = []
         self.lock = threading.Lock()
 
@@ -59,6 +65,11 @@
             return
         with up.lock:
             up.ran.append((request, self.command, self.path, body))
+        if self.path in up.deadly:
+            up.crashes.append(time.monotonic())
+            up.restart(up.restart_s)
+            self.close_connection = True
+            return
         if not self._work(up, request):
             return
         if up.mode == "cut":
