Quarantine requests that crash the instances that run them

Cause: nothing relates the attempts of one request. Each attempt of a caller has its own id, and all that limits retries counts within one id (attempts) or over a service (retry budget); a lost answer counts against the instance alone. So every VM sent the request to instance after instance, as often as it came. Class: a fault that travels with the request, and health kept for instances only.

Evidence: with fingerprints in the logs one fingerprint was cut 66 times, each time by a crash, sent by all 12 VMs, 7 to 25 times each; no other more than 3 times. Ruled out by this: that each VM keeps a record of its own, and that a crash cannot be told from a lost answer.

VMs report crashes under the fingerprints of the requests that they cut, push the reports to all VMs, and quarantine a request after three crashes in a row without an answer in between. Records are pushed to six peers at a time now instead of one after the other: an unreachable one held the others up for its timeout.

--- a/gypsumwind/core/decisions.py
+++ b/gypsumwind/core/decisions.py
@@ -4,6 +4,9 @@
 
 from gypsumwind.core.upstreams import Upstream
 
+QUARANTINED = "quarantined"
+"""Reason of the refusal of a request that crashes the instances that run it."""
+
 
 @dataclass(slots=True, frozen=True)
 class PlacementRequest:
@@ -13,7 +16,8 @@
     `objective` has its full value, a later one has less; 0 means that only the deadline counts.
 
     The callers of a region share objects, so homes are assigned per region. A `bulky` request has
-    its home in its own zone, so that its body crosses no link between zones.
+    its home in its own zone, so that its body crosses no link between zones. Repeats of a request
+    have the same `fingerprint`.
     """
 
     ticket: int
@@ -25,6 +29,7 @@
     exclude: frozenset[str] = frozenset()
     bulky: bool = False
     objective: float = 0.0
+    fingerprint: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -365,6 +365,15 @@
         for state in self._services.values():
             state.queue = [w for w in state.queue if w.request.ticket != ticket]
 
+    def withdraw(self, fingerprints: frozenset[str]) -> list[PlacementRequest]:
+        """Remove the requests with these fingerprints from the queue and return them."""
+        removed: list[PlacementRequest] = []
+        for state in self._services.values():
+            found = [w for w in state.queue if w.request.fingerprint in fingerprints]
+            state.queue = [w for w in state.queue if w not in found]
+            removed.extend(entry.request for entry in found)
+        return removed
+
     def drain_queue(self, now: float) -> list[tuple[int, Decision]]:
         """Place queued requests if there is capacity; refuse those that would end too late."""
         if self._listed.expire(now):
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -14,6 +14,7 @@
 from gypsumwind import messages as msg
 from gypsumwind.actors import TickTask
 from gypsumwind.connections import ConnectionPool
+from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
@@ -44,6 +45,7 @@
     RULES_KEY,
     UPSTREAMS_KEY,
     departure_record,
+    finding_record,
     rate_limit_to_bytes,
 )
 from gypsumwind.peers import PeerClient, PeerServer, PeerService, ProbeListener
@@ -195,6 +197,7 @@
             rng,
             self._publish_departure,
             self._publish_rate_limit,
+            self._publish_findings,
         )
         spread = PushTask(cfg, snapshots, rng)
         self._records = RecordsActor.start(
@@ -314,6 +317,11 @@
         key = RATE_LIMIT_PREFIX + limit.id
         self._records.tell(msg.PublishRecord(key, CONFIG_SCOPE, rate_limit_to_bytes(limit)))
 
+    def _publish_findings(self, findings: list[Finding]) -> None:
+        """Publish findings on requests that crash instances to the VMs of all zones."""
+        records = tuple(finding_record(finding) for finding in findings)
+        self._records.tell(msg.PutRecords(records))
+
     def _put(self, key: str, version: Version, doc: Any) -> None:
         record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
         self._records.tell(msg.PutRecords((record,)))
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -7,7 +7,8 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.actors import Actor
-from gypsumwind.core.decisions import Decision, Placed
+from gypsumwind.core.crashes import CrashHistory, CrashReport, Finding
+from gypsumwind.core.decisions import QUARANTINED, Decision, Placed, PlacementRequest, Refused
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
@@ -37,8 +38,12 @@
         rng: random.Random,
         publish_departure: Callable[[Departure], None] = lambda departure: None,
         publish_rate_limit: Callable[[RateLimit], None] = lambda limit: None,
+        publish_findings: Callable[[list[Finding]], None] = lambda findings: None,
     ) -> None:
         super().__init__()
+        self._publish_findings = publish_findings
+        self._crashes = CrashHistory()
+        self._quarantined: frozenset[str] = frozenset()
         self._publish_departure = publish_departure
         self._publish_rate_limit = publish_rate_limit
         self._cfg = cfg
@@ -66,6 +71,18 @@
                 return self._retry_budget(message.service).take(now, self._dispatcher.fleet.size)
             case msg.EstimateWait():
                 return self._dispatcher.estimate_retry_after_s(message.service, now)
+            case msg.Tick():
+                self._tick(now)
+            case _:
+                self._update(message, now)
+        return None
+
+    def _update(self, message: Any, now: float) -> None:
+        """Apply what has changed in the steering, or in other VMs' findings."""
+        match message:
+            case msg.ApplyFindings():
+                self._crashes.apply(message.findings, wall())
+                self._apply_quarantines()
             case msg.SyncSteering():
                 self._sync(now)
             case msg.SetSteering():
@@ -75,16 +92,16 @@
                 self._dispatcher.set_regions(message.steering.regions)
                 self._dispatcher.set_fleet(self._fleet(), self._cold_bound(), now)
                 self._sync(now)
-            case msg.Tick():
-                self._tick(now)
-        return None
 
     def _place(self, message: msg.PlaceRequest, now: float) -> None:
         request = message.request
         if not request.exclude:
             self._retry_budget(request.service).record_request(now)
-        decision = self._dispatcher.place(request, now)
         self._pending[request.ticket] = message.future
+        if request.fingerprint in self._quarantined:
+            self._deliver(request.ticket, self._refusal(request), now)
+            return
+        decision = self._dispatcher.place(request, now)
         if decision is not None:
             self._deliver(request.ticket, decision, now)
 
@@ -109,12 +126,49 @@
         self._dispatcher.finish(
             message.upstream, message.outcome, message.report, message.seconds, now
         )
+        self._observe_crash(message)
         self._dispatch_queued(now)
 
+    def _observe_crash(self, message: msg.SendFinished) -> None:
+        """Record that an instance crashed under a request, or that it did not."""
+        up, name, crashed_at = message.upstream, message.fingerprint, message.crashed_at
+        epoch = wall()
+        if crashed_at is not None:
+            sent_at = crashed_at - message.seconds
+            report = CrashReport(name, up.id, up.incarnation, sent_at, crashed_at)
+            self._crashes.record_crash(report, epoch)
+            self._apply_quarantines()
+        elif message.outcome in (Outcome.OK, Outcome.FAILED):
+            findings = self._crashes.record_answer(name, epoch - message.seconds, epoch)
+            if findings:
+                self._publish_findings(findings)
+                self._apply_quarantines()
+
+    def _apply_quarantines(self) -> None:
+        """Log the quarantines that began or ended, and refuse the queued requests concerned."""
+        before, self._quarantined = self._quarantined, self._crashes.quarantined
+        for name in self._quarantined - before:
+            log.info("request-quarantined", fingerprint=name, **self._crashes.evidence(name))
+        for name in before - self._quarantined:
+            log.info("quarantine-ended", fingerprint=name)
+        if self._quarantined - before:
+            now = monotonic()
+            for request in self._dispatcher.withdraw(self._quarantined):
+                self._deliver(request.ticket, self._refusal(request), now)
+
+    def _refusal(self, request: PlacementRequest) -> Refused:
+        until = self._crashes.quarantined_until(request.fingerprint) or 0.0
+        return Refused(QUARANTINED, max(0.0, until - wall()))
+
     def _tick(self, now: float) -> None:
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
             self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
+        findings = self._crashes.step(wall())
+        if findings:
+            self._publish_findings(findings)
+        if self._crashes.quarantined != self._quarantined:
+            self._apply_quarantines()
         if self._closed_zones.expire(now):
             self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
         self._dispatch_queued(now)
--- a/gypsumwind/errors.py
+++ b/gypsumwind/errors.py
@@ -37,6 +37,7 @@
     UPSTREAM_REFUSED = "GW320"
     CANCELLED = "GW321"
     STOPPED = "GW322"
+    QUARANTINED = "GW323"
     INTERNAL = "GW399"
 
 
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -21,7 +21,7 @@
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, cancelled
 from gypsumwind.log import Log
 from gypsumwind.steering import HeaderNames
-from gypsumwind.utils import monotonic
+from gypsumwind.utils import monotonic, wall
 
 log = Log("exchanges")
 
@@ -77,8 +77,8 @@
     `closing`: the response closed its connection. `leaving`: the instance is draining. `pause_s`:
     the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests
     per second that it accepts from all VMs, inf if it states no limit, None if that is unknown.
-    `crashed`: the instance ended while it had the request, as nothing listens at its address any
-    more.
+    `crashed_at`: when the instance ended while it had the request, in epoch seconds; None if it
+    still listens at its address or if that is unknown.
     """
 
     outcome: str
@@ -89,7 +89,7 @@
     leaving: bool = False
     pause_s: float = 0.0
     rate_limit: float | None = None
-    crashed: bool = False
+    crashed_at: float | None = None
     elapsed_s: float = 0.0
 
 
@@ -119,9 +119,9 @@
         except BaseException:
             conn.close()
             raise
-        elapsed_s = monotonic() - started
+        elapsed_s, ended_at = monotonic() - started, wall()
         crashed = sent.outcome == Outcome.CUT and self._has_crashed(up, req)
-        return replace(sent, elapsed_s=elapsed_s, crashed=crashed)
+        return replace(sent, elapsed_s=elapsed_s, crashed_at=ended_at if crashed else None)
 
     def _has_crashed(self, up: Upstream, req: Request) -> bool:
         """Return whether an instance refuses connections; False if that is not known in time."""
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -11,7 +11,13 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.calls import HOP_BY_HOP, Answer
-from gypsumwind.core.decisions import Decision, Placed, PlacementRequest, Refused
+from gypsumwind.core.decisions import (
+    QUARANTINED,
+    Decision,
+    Placed,
+    PlacementRequest,
+    Refused,
+)
 from gypsumwind.core.fingerprints import request_fingerprint
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.rules import RequestKind, Rule
@@ -113,6 +119,7 @@
                 exclude,
                 rule.kind is RequestKind.UPLOAD,
                 arrived + rule.objective_s,
+                req.fingerprint,
             )
             placed = self._place(placement_request, req)
             if isinstance(placed, RequestError):
@@ -172,6 +179,11 @@
             waited_s=round(decision.waited_s, 3),
             retry_s=round(decision.retry_after_s, 2),
         )
+        if decision.reason == QUARANTINED:
+            text = "this request crashed the instances that ran it"
+            return RequestError(
+                Code.QUARANTINED, text, Verdict.NOT_RUN, 503, decision.retry_after_s
+            )
         text = f"no instance of {placement_request.service} has room: {decision.reason}"
         return RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, decision.retry_after_s)
 
@@ -191,6 +203,8 @@
                     sent.leaving,
                     sent.pause_s,
                     sent.rate_limit,
+                    req.fingerprint,
+                    sent.crashed_at,
                 )
             )
         if sent.rate_limit is not None and sent.rate_limit < math.inf:
@@ -214,9 +228,9 @@
             leaving=sent.leaving,
             rate_limit=sent.rate_limit,
             fingerprint=req.fingerprint,
-            crashed=sent.crashed,
+            crashed=sent.crashed_at is not None,
         )
-        if sent.crashed:
+        if sent.crashed_at is not None:
             self._metrics.event("instance-crashed")
         return sent
 
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -3,6 +3,8 @@
 import queue
 import random
 from collections.abc import Callable, Collection
+from concurrent.futures import ThreadPoolExecutor, wait
+from contextlib import suppress
 from dataclasses import dataclass
 
 import pykka
@@ -188,6 +190,7 @@
         self._peers = PeerClient(cfg.ip, cfg.peer_timeout_s)
         self._rng = rng
         self._queue: queue.Queue[list[Record]] = queue.Queue(MAX_QUEUED_PUSHES)
+        self._pool = ThreadPoolExecutor(PUSH_FANOUT, "push")
 
     def put(self, records: list[Record]) -> None:
         """Queue records for the push; if the queue is full, anti-entropy delivers them."""
@@ -200,11 +203,14 @@
         """Wait for records and push them; an unreachable peer gets them by anti-entropy."""
         try:
             records = self._queue.get(timeout=1.0)
+            while not self._queue.empty():
+                records = records + self._queue.get_nowait()
         except queue.Empty:
             return
         live = self._snapshots.members.live()
-        for member in self._rng.sample(live, min(PUSH_FANOUT, len(live))):
-            try:
-                self._peers.exchange(member.endpoint, records, {})
-            except PeerError:
-                continue
+        chosen = self._rng.sample(live, min(PUSH_FANOUT, len(live)))
+        wait([self._pool.submit(self._push, member, records) for member in chosen])
+
+    def _push(self, member: Member, records: list[Record]) -> None:
+        with suppress(PeerError):
+            self._peers.exchange(member.endpoint, records, {})
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -7,6 +7,7 @@
 import pykka
 
 from gypsumwind.core.admission import Granted, PermitRequest, Refused, Usage
+from gypsumwind.core.crashes import Finding
 from gypsumwind.core.decisions import PlacementRequest
 from gypsumwind.core.health import Result
 from gypsumwind.core.idempotency import KeyEntry
@@ -351,6 +352,7 @@
 
     The instance may report that it is draining (`leaving`), request a pause (`pause_s`) and state a
     `rate_limit` in requests per second: inf if its response states none, None if that is unknown.
+    `crashed_at`, in epoch seconds, if it crashed under the request, which has this `fingerprint`.
     """
 
     upstream: Upstream
@@ -361,6 +363,15 @@
     leaving: bool = False
     pause_s: float = 0.0
     rate_limit: float | None = None
+    fingerprint: str = ""
+    crashed_at: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ApplyFindings:
+    """To the dispatch actor: other VMs' findings on requests that crash instances."""
+
+    findings: tuple[Finding, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -3,13 +3,14 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import asdict
-from typing import Any
+from typing import Any, TypeVar
 
 from gypsumwind import messages as msg
+from gypsumwind.core.crashes import Answered, CrashReport, Finding, Quarantine
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.rate_limits import RateLimit
-from gypsumwind.core.records import Record
+from gypsumwind.core.records import CRASHES_SCOPE, Record
 from gypsumwind.core.restores import zone_closures_from_json
 from gypsumwind.core.rules import ruleset_from_json
 from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
@@ -18,6 +19,8 @@
 from gypsumwind.utils import pack_json, unpack_json, wall
 from gypsumwind.wire import headroom_from_wire, thrift, unpack
 
+FindingT = TypeVar("FindingT", CrashReport, Answered, Quarantine)
+
 TABLE_PREFIX = "table/"
 PLACES_KEY = "places"
 VM_PREFIX = "vm/"
@@ -30,7 +33,18 @@
 DEPARTURE_PREFIX = "departure/"
 RATE_LIMIT_PREFIX = "rate-limit/"
 
-EXPIRING_PREFIXES = (HEIR_PREFIX, DEPARTURE_PREFIX, RATE_LIMIT_PREFIX)
+CRASH_PREFIX = "crash/"
+ANSWERED_PREFIX = "answered/"
+QUARANTINE_PREFIX = "quarantine/"
+
+EXPIRING_PREFIXES = (
+    HEIR_PREFIX,
+    DEPARTURE_PREFIX,
+    RATE_LIMIT_PREFIX,
+    CRASH_PREFIX,
+    ANSWERED_PREFIX,
+    QUARANTINE_PREFIX,
+)
 """Key prefixes of records that cannot be decoded once they have expired."""
 
 
@@ -99,6 +113,24 @@
     return pack_json(asdict(limit) | {"per_s": limit.per_s if limit.per_s < math.inf else None})
 
 
+def finding_record(finding: Finding) -> Record:
+    """Return the record of a finding on a request that crashes instances."""
+    name = finding.fingerprint
+    match finding:
+        case CrashReport():
+            key = f"{CRASH_PREFIX}{name}/{finding.instance}/{_milliseconds(finding.sent_at)}"
+            version = _milliseconds(finding.crashed_at)
+        case Answered():
+            key, version = ANSWERED_PREFIX + name, _milliseconds(finding.sent_at)
+        case Quarantine():
+            key, version = QUARANTINE_PREFIX + name, _milliseconds(finding.since)
+    return Record(key, version, CRASHES_SCOPE, pack_json(asdict(finding)))
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
+
+
 def _table_from_bytes(payload: bytes) -> ServiceTable:
     return table_from_json(unpack_json(payload))
 
@@ -126,6 +158,36 @@
     return limit
 
 
+def _crash_from_bytes(payload: bytes) -> CrashReport:
+    doc = unpack_json(payload)
+    return _unexpired(
+        CrashReport(
+            str(doc["fingerprint"]),
+            str(doc["instance"]),
+            int(doc["incarnation"]),
+            float(doc["sent_at"]),
+            float(doc["crashed_at"]),
+        )
+    )
+
+
+def _answered_from_bytes(payload: bytes) -> Answered:
+    doc = unpack_json(payload)
+    return _unexpired(Answered(str(doc["fingerprint"]), float(doc["sent_at"])))
+
+
+def _quarantine_from_bytes(payload: bytes) -> Quarantine:
+    doc = unpack_json(payload)
+    return _unexpired(Quarantine(str(doc["fingerprint"]), float(doc["since"])))
+
+
+def _unexpired(finding: FindingT) -> FindingT:
+    """Return a finding; ValueError if it has expired or never does."""
+    if not wall() < finding.expires < math.inf:
+        raise ValueError(f"finding on {finding.fingerprint!r} has expired")
+    return finding
+
+
 DECODERS_BY_KEY: Mapping[str, Callable[[bytes], Any]] = {
     PLACES_KEY: lambda payload: places_from_json(unpack_json(payload)),
     VMLIST_KEY: unpack_json,
@@ -142,5 +204,8 @@
     HEIR_PREFIX: heir_from_bytes,
     DEPARTURE_PREFIX: _departure_from_bytes,
     RATE_LIMIT_PREFIX: _rate_limit_from_bytes,
+    CRASH_PREFIX: _crash_from_bytes,
+    ANSWERED_PREFIX: _answered_from_bytes,
+    QUARANTINE_PREFIX: _quarantine_from_bytes,
 }
 """Decoders of the other records, by the prefix of their keys."""
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -7,9 +7,10 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.actors import Actor
+from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.rate_limits import RateLimit
-from gypsumwind.core.records import CONFIG_SCOPE, Record, Records
+from gypsumwind.core.records import CONFIG_SCOPE, CRASHES_SCOPE, Record, Records
 from gypsumwind.core.routes import build_route
 from gypsumwind.core.table import ServiceTable
 from gypsumwind.errors import TableError
@@ -37,7 +38,7 @@
 
 log = Log("records")
 
-Expiring = TypeVar("Expiring", Departure, RateLimit)
+Expiring = TypeVar("Expiring", Departure, RateLimit, Finding)
 """A value that VMs gossip until it expires."""
 
 
@@ -58,6 +59,7 @@
         self._snapshots = snapshots
         self._gate = gate
         self._push_records = push_records
+        self._findings: dict[str, Finding] = {}
 
     def handle(self, message: Any) -> Any:
         """Handle `PutRecords`, `PublishRecord` and the queries for records."""
@@ -83,6 +85,7 @@
 
     def _put(self, records: tuple[Record, ...]) -> list[Record]:
         stored = []
+        findings: list[Finding] = []
         tables: list[ServiceTable] = []
         for record in records:
             value = self._decode(record)
@@ -92,11 +95,18 @@
             self._publish(record, value)
             if isinstance(value, ServiceTable):
                 tables.append(value)
+            elif record.scope == CRASHES_SCOPE:
+                self._findings[record.key] = value
+                findings.append(value)
         config = [record for record in stored if is_config(record.key)]
         if config:
             self._publish_routes(config, tables)
             self._snapshots.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
-            self._push_records(config)
+        if findings:
+            self._gate.tell(msg.ApplyFindings(tuple(findings)))
+        pushed = config + [record for record in stored if record.scope == CRASHES_SCOPE]
+        if pushed:
+            self._push_records(pushed)
         return stored
 
     def _publish_routes(self, changed: list[Record], tables: list[ServiceTable]) -> None:
@@ -119,8 +129,9 @@
                 self._snapshots.heirs = {h: v for h, v in heirs.items() if h != heir.home}
 
     def _prune_expired(self) -> None:
-        """Remove the departures and rate limits that VMs have gossiped for long enough."""
+        """Remove the departures, limits and findings that VMs have gossiped for long enough."""
         snapshots = self._snapshots
+        self._findings = dict(self._unexpired("", self._findings))
         snapshots.departures = self._unexpired(DEPARTURE_PREFIX, snapshots.departures)
         snapshots.rate_limits = self._unexpired(RATE_LIMIT_PREFIX, snapshots.rate_limits)
 
@@ -168,6 +179,8 @@
     def _publish_steering(self, record: Record, value: Any) -> None:
         """Publish a record that direct mode uses, and notify the dispatch actor."""
         snapshots = self._snapshots
+        if record.scope == CRASHES_SCOPE:
+            return
         if record.key == RULES_KEY:
             snapshots.rules = value
             log.info("rules-in-force", version=value.version)
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.standins.fleet import wait_until
 from tests.standins.steered import DirectFleet
 
 INSTANCES = [(f"i-{n}", "lookup", "a1" if n % 2 else "b1") for n in range(8)]
@@ -70,3 +71,23 @@
     late = [at for at in crashes if at > crashes[MOST_CRASHES - 1] + SETTLE_S]
     assert len(crashes) >= MOST_CRASHES and len(late) <= MOST_RETRIES
     assert {status for at, status in statuses if at > until - 1.0} == {200}
+
+
+def test_restarted_vm_learns_which_requests_crash_instances(fleet):
+    fleet.set_instances(deadly=(DEADLY,), restart_s=1.0)
+    vm = list(fleet.vms.values())[2]
+    answers = send_deadly(fleet, 3.0, 0.25)
+    belief = "request-quarantined"
+    wait_until(lambda: all(belief in one.log_path.read_text() for one in fleet.vms.values()))
+    known = vm.log_path.read_text().count(belief)
+    vm.kill()
+    vm.start()
+    wait_until(vm.ready)
+    wait_until(lambda: vm.log_path.read_text().count(belief) > known)
+    crashes = len(crash_times(fleet))
+    refusal = fleet.send(vm, DEADLY, request="after-restart")
+    assert refusal.status == 503 and refusal.headers["Gypsumwind-Verdict"] == "not-run"
+    assert refusal.json()["code"] == "GW323" and float(refusal.headers["Retry-After"]) > 60
+    assert len(crash_times(fleet)) == crashes
+    assert {answer.status for answer in answers} <= {502, 503}
+    assert fleet.send(vm, "/read/other", request="other").status == 200
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -1,4 +1,4 @@
-"""The dispatch actor releases the slot of a request that no longer waits for its decision."""
+"""The dispatch actor: slots of requests that no longer wait, and requests that crash instances."""
 
 import random
 from concurrent.futures import Future
@@ -8,7 +8,8 @@
 import pytest
 
 from gypsumwind import messages as msg
-from gypsumwind.core.decisions import Placed, PlacementRequest
+from gypsumwind.core.crashes import QUARANTINE_S, Quarantine
+from gypsumwind.core.decisions import QUARANTINED, Placed, PlacementRequest
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.upstreams import Upstream, UpstreamList
@@ -16,6 +17,7 @@
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.steering import SteeringSettings
+from gypsumwind.utils import wall
 
 UP = Upstream("i1", 1, "s", "127.0.0.1", 1, "a1", 1)
 
@@ -33,9 +35,9 @@
     pykka.ActorRegistry.stop_all()
 
 
-def place(actor, ticket):
+def place(actor, ticket, fingerprint="f"):
     future = Future()
-    request = PlacementRequest(ticket, "s", "k", 1, 1e12)
+    request = PlacementRequest(ticket, "s", "k", 1, 1e12, fingerprint=fingerprint)
     actor.ask(msg.PlaceRequest(request, future))
     return future
 
@@ -57,3 +59,26 @@
 def test_failing_message_does_not_stop_the_actor(actor):
     actor.ask(msg.SendFinished(None, Outcome.OK, None, 0.1, False))
     assert isinstance(place(actor, 1).result(1), Placed)
+
+
+def test_quarantined_request_is_refused_whether_new_or_queued(actor):
+    placed = [place(actor, n) for n in range(2)]
+    queued, innocent = place(actor, 10, "deadly"), place(actor, 11)
+    assert all(isinstance(f.result(1), Placed) for f in placed)
+    actor.ask(msg.ApplyFindings((Quarantine("deadly", wall()),)))
+    for refusal in (queued.result(1), place(actor, 12, "deadly").result(1)):
+        assert refusal.reason == QUARANTINED
+        assert QUARANTINE_S - 5 < refusal.retry_after_s <= QUARANTINE_S
+    finish_send(actor)
+    assert isinstance(innocent.result(1), Placed)
+
+
+def test_crashes_that_this_vm_observed_count_before_its_next_attempt(actor):
+    now = wall()
+    for n in range(3):
+        at = now + n
+        up = Upstream(f"x{n}", 1, "s", "127.0.0.1", 1, "a1", 1)
+        actor.tell(
+            msg.SendFinished(up, Outcome.CUT, None, 0.1, False, fingerprint="f", crashed_at=at)
+        )
+    assert place(actor, 1).result(1).reason == QUARANTINED
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -26,7 +26,7 @@
 from gypsumwind.platform.headers import HEADERS, read_load
 from gypsumwind.senders import OutgoingRequest, Sender, Target
 from gypsumwind.stores import StoreClient
-from gypsumwind.utils import monotonic
+from gypsumwind.utils import monotonic, wall
 
 DEADLINE_S = 0.6
 """Deadline of the requests in this file, in seconds."""
@@ -165,6 +165,26 @@
         assert sent.outcome == Outcome.CUT and sent.answer is None
 
 
+@pytest.mark.parametrize("listens", [False, True], ids=["stopped", "listening"])
+@pytest.mark.parametrize("begin", [b"", OK[:-5]], ids=["no-byte", "half-a-head"])
+def test_lost_response_is_a_crash_if_the_instance_refuses_connections(hangups, begin, listens):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(65536)
+                sock.sendall(begin)
+                if not listens:
+                    listener.shutdown(socket.SHUT_RDWR)
+
+        threading.Thread(target=serve, daemon=True).start()
+        before = wall()
+        sent, _ = send(hangups, listener.getsockname())
+        assert sent.outcome == Outcome.CUT
+        assert sent.crashed_at is None if listens else before <= sent.crashed_at <= wall()
+
+
 def test_silent_instance_is_late(hangups):
     with server(b"", b"", 0.0) as (address, _):
         assert send(hangups, address)[0].outcome == Outcome.LATE
--- a/tests/test_payloads.py
+++ b/tests/test_payloads.py
@@ -4,10 +4,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gypsumwind.core.crashes import QUARANTINE_S, Answered, CrashReport, Quarantine
 from gypsumwind.core.departures import DISSEMINATION_S, Departure
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.errors import TableError
-from gypsumwind.payloads import DECODERS_BY_KEY, DECODERS_BY_PREFIX, decode, departure_record
+from gypsumwind.payloads import (
+    DECODERS_BY_KEY,
+    DECODERS_BY_PREFIX,
+    decode,
+    departure_record,
+    finding_record,
+)
 from gypsumwind.utils import pack_json, wall
 
 KEYS = [*DECODERS_BY_KEY, *(prefix + "x" for prefix in DECODERS_BY_PREFIX)]
@@ -36,3 +43,16 @@
         decode(Record(key, 1, CONFIG_SCOPE, payload))
     except (ValueError, TableError):
         return
+
+
+@pytest.mark.parametrize("finding_type", [CrashReport, Answered, Quarantine])
+def test_finding_survives_a_round_trip_until_it_expires(finding_type):
+    def found_at(at):
+        if finding_type is CrashReport:
+            return CrashReport("f", "i-1", 7, at - 0.5, at)
+        return finding_type("f", at)
+
+    recent = found_at(wall())
+    assert decode(finding_record(recent)) == recent
+    with pytest.raises(ValueError, match="expired"):
+        decode(finding_record(found_at(wall() - QUARANTINE_S - 1)))
