A stopping VM passes on no late request that may outlast it

What callers saw here: a request whose head was begun before SIGTERM and completed 3.05 or 3.7 s later was passed on and answered 504 (GW322, may have run) at the end of the grace, although it could have been refused.

Cause: until 1.3 s before the deadline every request on an open connection was accepted, however long it may take. Connections that idle are closed by then, and used ones close with their answer, so only requests whose head was under way came so late. Class: work accepted without asking whether it can be finished.

Change: from 2.8 s after SIGTERM (half of a short grace) a request is accepted only if its deadline comes before the phase of aborting; others are refused, not run, with Retry-After, which sends the caller to another VM. Measured: test_graceful_shutdown_passes_on_no_late_request_that_may_outlast_it failed for half-a-head at both times (4 of 4 requests each) and passed for connections that had not been used; now all pass. core/test_stops: a machine in which no late request is aborted.

--- a/gypsumwind/core/stops.py
+++ b/gypsumwind/core/stops.py
@@ -14,12 +14,17 @@
 flight, so that accepted ones have a second to finish; most requests of the planned loads take less.
 """
 
+ACCEPT_ALL_S = 2.8
+"""Time, in seconds, for which requests are accepted however long they may take. Callers send few
+later ones; a refusal sends these to another VM, where they are not aborted."""
+
 ABORT_S = 0.3
 """Time before the deadline, in seconds, at which requests still running on instances are aborted.
 It leaves time to notify their callers, and to send the responses queued behind theirs on a
 connection."""
 
 LISTEN_SHARE = 0.5
+ACCEPT_ALL_SHARE = 0.5
 REFUSE_SHARE = 0.25
 ABORT_SHARE = 0.06
 """Maximum of each of these times as a fraction of a short grace period."""
@@ -33,7 +38,7 @@
 
     SERVING = 0
     LEAVING = 1  # serves all, but is no longer announced to callers
-    CLOSED = 2  # accepts no new connections, and requests only on open ones
+    CLOSED = 2  # accepts no new connections, and requests only on open ones (see `accepts`)
     REFUSING = 3  # accepts no requests; finishes those in flight
     ABORTING = 4  # responds to requests still running on instances that they may have run
     ENDED = 5
@@ -50,6 +55,7 @@
         "phase",
         "deadline",
         "_listen_until",
+        "_accept_all_until",
         "_refuse_from",
         "_abort_from",
         "_min_closed_s",
@@ -62,6 +68,7 @@
         self.phase = ShutdownPhase.SERVING
         self.deadline = now + budget_s
         self._listen_until = now + min(LISTEN_S, LISTEN_SHARE * budget_s)
+        self._accept_all_until = now + min(ACCEPT_ALL_S, ACCEPT_ALL_SHARE * budget_s)
         self._refuse_from = self.deadline - min(REFUSE_S, REFUSE_SHARE * budget_s)
         self._abort_from = self.deadline - min(ABORT_S, ABORT_SHARE * budget_s)
         self._min_closed_s = min_closed_s
@@ -74,6 +81,12 @@
             self._phase_began = now
         return self.phase
 
+    def accepts(self, now: float, request_deadline: float) -> bool:
+        """Return whether to accept a request; a late one only if it cannot outlast the shutdown."""
+        if self.phase >= ShutdownPhase.REFUSING:
+            return False
+        return now < self._accept_all_until or request_deadline <= self._abort_from
+
     def _phase_over(self, now: float, in_flight: int) -> bool:
         """Return whether the current phase is over."""
         if self.phase is ShutdownPhase.SERVING:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -357,6 +357,7 @@
     def stop(self) -> None:
         """Shut down gracefully: drain requests in flight; return once the process may exit."""
         stop = GracefulShutdown(monotonic(), self._steering.grace_s, 2 * IDLE_CHECK_S)
+        self._front.shutdown = stop
         phase = stop.phase
         while phase is not ShutdownPhase.ENDED:
             before, phase = phase, stop.step(monotonic(), self._front.in_flight.count)
@@ -374,7 +375,6 @@
         elif phase is ShutdownPhase.CLOSED:
             self._server.close_listener()
         elif phase is ShutdownPhase.REFUSING:
-            self._front.refusing = True
             self._members.tell(msg.Leave(State.LEFT))
             self._announce.stop()
         elif phase is ShutdownPhase.ABORTING:
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -96,6 +96,12 @@
             raise RequestError(Code.BAD_REQUEST, "the body is too long", Verdict.NOT_RUN, 413)
         return rule
 
+    def deadline_of(self, ex: Exchange, rule: Rule, arrived: float) -> float:
+        """Return the time by which a request has to be answered, on this VM's clock."""
+        text = ex.headers.get(self._names.deadline_ms, "")
+        requested_timeout_s = int(text) / 1000.0 if text.isdecimal() else rule.timeout_s
+        return arrived + min(requested_timeout_s, rule.timeout_s) - DEADLINE_MARGIN_S
+
     def serve(self, ex: Exchange, rule: Rule, arrived: float) -> Answer:
         """Return the response to a request; RequestError if no instance responds in time."""
         ex.body.buffer_small(MAX_REPLAY_BODY_BYTES)
@@ -139,16 +145,13 @@
 
     def _request(self, ex: Exchange, rule: Rule, arrived: float) -> Request:
         names = self._names
-        text = ex.headers.get(names.deadline_ms, "")
-        requested_timeout_s = int(text) / 1000.0 if text.isdecimal() else rule.timeout_s
-        remaining_s = min(requested_timeout_s, rule.timeout_s) - DEADLINE_MARGIN_S
         return Request(
             ex.headers.get(names.request_id, ""),
             ex.method,
             ex.target,
             _forwarded_headers(ex.headers, names),
             ex.body,
-            arrived + remaining_s,
+            self.deadline_of(ex, rule, arrived),
             rule.kind.repeatable,
             _fingerprint(ex),
         )
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -2,6 +2,7 @@
 
 from gypsumwind.calls import Answer
 from gypsumwind.core.rules import Rule
+from gypsumwind.core.stops import GracefulShutdown
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.forwarders import Forwarder
@@ -64,7 +65,7 @@
         self._metrics = metrics
         self._names = names
         self.in_flight = ConcurrencyLimiter(cfg.threads - RESERVED_THREADS)
-        self.refusing = False
+        self.shutdown: GracefulShutdown | None = None
         self._cancelled_all = False
         self._scopes: set[CancelScope] = set()
         self._startup_until = monotonic() + STARTUP_WAIT_S
@@ -143,7 +144,8 @@
         if not served.admitted:
             text = "too many requests are in flight at this VM"
             raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
-        if self.refusing:
+        deadline = self._forwarder.deadline_of(ex, rule, served.arrived_at)
+        if self.shutdown is not None and not self.shutdown.accepts(monotonic(), deadline):
             text = "this VM stops"
             raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, STOPPING_RETRY_S)
         return rule
--- a/tests/core/test_stops.py
+++ b/tests/core/test_stops.py
@@ -4,7 +4,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from gypsumwind.core.stops import LISTEN_S, MARGIN_S, REFUSE_S, GracefulShutdown, ShutdownPhase
+from gypsumwind.core.stops import (
+    ACCEPT_ALL_S,
+    LISTEN_S,
+    MARGIN_S,
+    REFUSE_S,
+    GracefulShutdown,
+    ShutdownPhase,
+)
 
 SHORT_S = 0.9
 LONG_GRACE_S = 5.6
@@ -21,6 +28,7 @@
         self.grace_s = grace_s
         self.stop = GracefulShutdown(self.now, grace_s, IDLE_S)
         self.ends = []
+        self.late_ends = []
         self.phases = [ShutdownPhase.SERVING]
         self.entered = {ShutdownPhase.SERVING: self.now}
 
@@ -36,8 +44,11 @@
 
     @rule(takes_s=st.one_of(st.floats(0.01, SHORT_S), st.floats(0.01, 40.0)))
     def request(self, takes_s):
-        if self.stop.phase < ShutdownPhase.REFUSING:
-            self.ends.append(self.now + takes_s)
+        end = self.now + takes_s
+        if self.stop.accepts(self.now, end):
+            self.ends.append(end)
+            if self.now >= self.began + ACCEPT_ALL_S:
+                self.late_ends.append(end)
 
     @rule(requests=st.lists(st.floats(0.1, SHORT_S), min_size=2, max_size=2), for_s=st.floats(1, 9))
     def series(self, requests, for_s):
@@ -105,7 +116,22 @@
         assert self.stop.phase < ShutdownPhase.ABORTING or not self.ends
 
 
+class LateRequests(StopMachine):
+    """No request that is accepted late is aborted, however long it takes."""
+
+    @rule()
+    def frozen(self):
+        """Disabled: a process suspended past its deadline aborts its requests."""
+
+    @invariant()
+    def no_late_request_outlasts_the_shutdown(self):
+        aborting = self.entered.get(ShutdownPhase.ABORTING)
+        assert aborting is None or all(end <= aborting + POLL_S for end in self.late_ends)
+
+
 TestStop = StopMachine.TestCase
 TestStop.settings = settings(max_examples=150, stateful_step_count=20, deadline=None)
 TestShortRequests = ShortRequests.TestCase
 TestShortRequests.settings = settings(max_examples=150, stateful_step_count=20, deadline=None)
+TestLateRequests = LateRequests.TestCase
+TestLateRequests.settings = settings(max_examples=150, stateful_step_count=20, deadline=None)
--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -315,6 +315,43 @@
     assert not cut
 
 
+def send_rest_during_stop(vm, name, stopped, offset, begun):
+    """Send the first `begun` bytes of a request before a shutdown, the rest during it."""
+    data = f"GET /read/x HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Request-Id: {name}\r\n\r\n"
+    with socket.create_connection((vm.ip, platform.FRONT_PORT)) as sock:
+        sock.settimeout(10)
+        sock.sendall(data[:begun].encode())
+        stopped.wait(20)
+        time.sleep(offset)
+        try:
+            sock.sendall(data[begun:].encode())
+            return read_until(sock, lambda d: d.endswith(f"{name}\n".encode()) or b" 50" in d)
+        except OSError:
+            return b""
+
+
+@pytest.mark.parametrize("begun", [0, 30], ids=["unused", "half-a-head"])
+@pytest.mark.parametrize("offset", [3.05, 3.7])
+def test_graceful_shutdown_passes_on_no_late_request_that_may_outlast_it(fleet, offset, begun):
+    vm = first_vm(fleet)
+    stopped = threading.Event()
+    with ThreadPoolExecutor(9) as pool:
+        kept = [pool.submit(send_during_stop, vm, f"r-{n}", stopped, offset) for n in range(4)]
+        begun_at = (stopped, offset, begun)
+        late = [pool.submit(send_rest_during_stop, vm, f"l-{n}", *begun_at) for n in range(4)]
+        wait_until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 4)
+        fleet.set_instances(service_time_s=3.8)
+        busy = pool.submit(fleet.send, vm, request="busy")
+        wait_until(lambda: runs_of(fleet, "busy"))
+        vm.process.send_signal(signal.SIGTERM)
+        stopped.set()
+        answers = {f"r-{n}": fut.result() for n, fut in enumerate(kept)}
+        answers |= {f"l-{n}": fut.result() for n, fut in enumerate(late)}
+        assert busy.result().status == 200
+    assert vm.process.wait(15) == 0
+    assert not [n for n, data in answers.items() if runs_of(fleet, n) and b" 200 OK" not in data]
+
+
 def test_graceful_shutdown_answers_started_pipelined_requests(fleet):
     vm = first_vm(fleet)
     fleet.set_instances(service_time_s=1.5)
