A refusal that an instance repeats is not believed

What callers could see here: an instance that repeats an earlier refusal without its id on a kept connection made the VM report the next request there as not run, or send it to a second instance, while the instance ran it (REFUSED, TWICE). The same under the same id if a request that was refused is sent on that connection again, to an instance that has taken over the address.

Cause: a response without a request id counted as the response to the request on its connection, also if the connection had carried others. Class: attribution by position where an identity is due.

Change: a response without an id counts only if its request is the first on its connection, else the send ends as may-have-run; a request is not sent on a connection on which it was refused. Measured: test_refusal_that_an_instance_repeats_on_a_kept_connection_is_not_believed failed for 503, 421 and 429 without an id (with the earlier id it passed before, too), and test_refused_request_is_not_sent_again_on_the_same_connection failed; both pass.

--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -112,7 +112,7 @@
         """Send a request and wait for the response until the deadline."""
         if cancelled():
             return _failure(Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.NOT_RUN, 499)
-        conn, kept = self._connections.acquire(up.ip, up.port, not req.repeatable)
+        conn, kept = self._acquire(up, req)
         started = monotonic()
         try:
             sent = self._connect(conn, kept, req) or self._exchange(conn, up, req)
@@ -123,6 +123,17 @@
         crashed = sent.outcome == Outcome.CUT and self._has_crashed(up, req)
         return replace(sent, elapsed_s=elapsed_s, crashed_at=ended_at if crashed else None)
 
+    def _acquire(self, up: Upstream, req: Request) -> tuple[TrackedConnection, bool]:
+        """Return a connection and whether it is open; none on which this request was refused.
+
+        A refusal that the instance repeats there would pass for a response to the new attempt.
+        """
+        while True:
+            conn, kept = self._connections.acquire(up.ip, up.port, not req.repeatable)
+            if not kept or conn.refused_id != req.id:
+                return conn, kept
+            conn.close()
+
     def _has_crashed(self, up: Upstream, req: Request) -> bool:
         """Return whether an instance refuses connections; False if that is not known in time."""
         left = min(req.deadline - monotonic(), CRASH_CHECK_TIMEOUT_S)
@@ -202,13 +213,16 @@
         report = self._read_load(headers.get(names.load, ""))
         closing = _closes_connection(response)
         answered_id = headers.get(names.request_id)
-        if answered_id is not None and answered_id != req.id:
+        # Without an id, it may be an earlier response that the instance repeats.
+        ambiguous = answered_id is None and conn.requests > 1
+        if ambiguous or answered_id not in (None, req.id):
             conn.close()
-            text = f"the answer is that of request {answered_id}"
+            text = f"the answer is that of request {answered_id or 'unknown'}"
             return _failure(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
         if response.status in NOT_RUN_STATUSES and (
             names.not_run in headers or response.status == 421
         ):
+            conn.refused_id = req.id
             self._discard_body(conn, response)
             misdirected = response.status == 421
             text = f"instance answered {response.status}, not run"
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -90,7 +90,8 @@
     """A connection with the scope and the deadline of its current request; a pool may reuse it.
 
     `expired`: it was shut down at its deadline. `received`: the bytes of the last response. A pool
-    keeps it only while it is `reusable`.
+    keeps it only while it is `reusable`. `requests`: the number of requests sent since it was
+    opened; `refused_id`: the id of the last of them that the server refused.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -98,6 +99,8 @@
         self.response_class = self._make_response  # type: ignore[assignment]
         self.expired = False
         self.reusable = True
+        self.requests = 0
+        self.refused_id = ""
         self.deadline: float | None = None
         self._reader: BoundedReader | None = None
         self._scope: CancelScope | None = None
@@ -118,6 +121,7 @@
         scope, limit = _scope.get(), _limit.get()
         self._reader = None
         self.reusable = True
+        self.requests += 1
         with self._scope_lock:
             self.expired = False
             self._scope = scope
@@ -137,6 +141,8 @@
     def close(self) -> None:
         """Close the connection; it may be opened again."""
         self.end_request()
+        self.requests = 0
+        self.refused_id = ""
         super().close()
 
     def abort_if_expired(self, now: float) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -86,12 +86,12 @@
         yield task
 
 
-def send(hangups, address, repeatable=True):
-    client = UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
+def send(hangups, address, repeatable=True, request="r", client=None):
+    client = client or UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
     up = Upstream("i", 1, "s", address[0], address[1], "a1", 4)
     body = Body(SimpleNamespace(read=lambda size: b""), 0)
     deadline = monotonic() + DEADLINE_S
-    req = Request("r", "GET", "/", {"host": "h"}, body, deadline, repeatable)
+    req = Request(request, "GET", "/", {"host": "h"}, body, deadline, repeatable)
     return client.send(up, req), deadline
 
 
@@ -157,7 +157,7 @@
         wait_for(lambda: closed)
 
 
-@pytest.mark.parametrize("cut_at", range(len(OK) + 1, len(OK + END), 4))
+@pytest.mark.parametrize("cut_at", range(1, len(OK + END)))
 def test_response_truncated_within_its_head_is_not_complete(hangups, cut_at):
     """The signature has arrived; a response without a length may end with its connection."""
     with server((OK + END)[:cut_at], None, 0.0) as (address, _):
@@ -285,6 +285,57 @@
         assert send(hangups, address)[0].leaving is leaving
 
 
+@contextmanager
+def scripted_instance(*responses):
+    """A server that gives these responses, one a request; yields its address and the number run."""
+    ran = []
+
+    def serve(sock):
+        with sock, suppress(OSError):
+            while sock.recv(65536):
+                sock.sendall(responses[len(ran)])
+                ran.append(responses[len(ran)])
+
+    def accept():
+        with suppress(OSError):
+            while True:
+                sock, _ = listener.accept()
+                threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=accept, daemon=True).start()
+        yield listener.getsockname(), ran
+
+
+@pytest.mark.parametrize("named", [b"", b"Gypsumwind-Request-Id: r0\r\n"], ids=["no-id", "its-id"])
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"429 Too Many"])
+def test_refusal_that_an_instance_repeats_on_a_kept_connection_is_not_believed(
+    hangups, status, named
+):
+    refusal = b"HTTP/1.1 " + status + b"\r\nGypsumwind-Not-Executed: 1\r\n" + named
+    refusal += b"Content-Length: 0\r\n\r\n"
+    client = UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
+    with scripted_instance(refusal, refusal) as (address, ran):
+        first, _ = send(hangups, address, request="r0", client=client)
+        assert first.error.verdict is Verdict.NOT_RUN
+        second, _ = send(hangups, address, request="r", client=client)
+        assert second.error.verdict is Verdict.MAY_HAVE_RUN and len(ran) == 2
+
+
+def test_refused_request_is_not_sent_again_on_the_same_connection(hangups):
+    """An instance that has taken over the address may repeat the refusal under the same id."""
+    refusal = b"HTTP/1.1 421 Misdirected\r\nGypsumwind-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
+    client = UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
+    with scripted_instance(refusal, OK + b"Content-Length: 0\r\n\r\n") as (address, _):
+        first, _ = send(hangups, address, client=client)
+        used = client._connections.acquire(*address, False)
+        assert first.error.verdict is Verdict.NOT_RUN and used[1]
+        client._connections.release(used[0], None)
+        second, _ = send(hangups, address, client=client)
+        assert second.outcome == Outcome.OK
+        assert used[0].sock is None
+
+
 @given(text=st.text(max_size=20) | st.floats().map(str) | st.integers().map(str))
 def test_any_time_to_come_back_is_bounded(text):
     assert (
