A VM that reaches no instance sends its callers to others

What callers saw: at a VM that is partitioned from all instances while callers, the store and the other VMs reach it, every first try failed, by a 502 after a reset or a 504 at the deadline, for as long as the partition lasted, and look-ups went on naming it.

Cause: failures count against instances, one by one; nothing concluded from the failure of all that the fault is this VM's, and nothing told other VMs.

--- a/gypsumwind/core/decisions.py
+++ b/gypsumwind/core/decisions.py
@@ -8,6 +8,10 @@
 """Reason of the refusal of a request that crashes the instances that run it."""
 
 
+ISOLATED = "isolated"
+"""Reason of the refusal of a request while this VM reaches no instance."""
+
+
 @dataclass(slots=True, frozen=True)
 class PlacementRequest:
     """A request to be placed on an instance.
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -264,6 +264,11 @@
         if inst is not None and inst.upstream.incarnation == upstream.incarnation:
             inst.eject_until(now + CLOSE_EJECT_S)
 
+    def clear_ejections(self) -> None:
+        """Forget the failures of all instances: this VM was partitioned from them."""
+        for inst in self._instances.values():
+            inst.clear_ejection()
+
     def record_departure(self, name: str, incarnation: int) -> bool:
         """Record an instance's announcement of its shutdown to any VM; return whether it is new."""
         if not self._departures.add(name, incarnation):
--- a/gypsumwind/core/instances.py
+++ b/gypsumwind/core/instances.py
@@ -148,6 +148,12 @@
         self.eject_s = min(MAX_EJECT_S, 2 * self.eject_s)
         self.failure_rate = EJECT_THRESHOLD
 
+    def clear_ejection(self) -> None:
+        """Forget the failures of the instance."""
+        self.ejected_until = -math.inf
+        self.failure_rate = 0.0
+        self.eject_s = EJECT_S
+
     def eject_until(self, until: float) -> None:
         """Eject the instance at least until the given time, without counting a failure."""
         self.ejected_until = max(self.ejected_until, until)
--- a/gypsumwind/core/records.py
+++ b/gypsumwind/core/records.py
@@ -13,7 +13,7 @@
 
 CONFIG_SCOPE = "config"
 ZONES_SCOPE = "zones"
-CRASHES_SCOPE = "crashes"
+HEALTH_SCOPE = "health"
 
 NO_VERSION = Version(-1)
 """Version of a missing record; sorts before that of any record."""
@@ -39,7 +39,7 @@
 
 
 class Records:
-    """Records of one VM, in the scopes of configuration, zone digests, crashes and its own zone.
+    """Records of one VM, in the scopes of configuration, zone digests, health and its own zone.
 
     Often changed records are in other scopes than rarely changed ones, so that the versions of
     the whole table are compared only after it changes.
@@ -49,7 +49,7 @@
 
     def __init__(self, zone: str) -> None:
         self._records: dict[str, Record] = {}
-        self._scopes = (CONFIG_SCOPE, ZONES_SCOPE, CRASHES_SCOPE, zone)
+        self._scopes = (CONFIG_SCOPE, ZONES_SCOPE, HEALTH_SCOPE, zone)
 
     def __len__(self) -> int:
         return len(self._records)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -16,6 +16,7 @@
 from gypsumwind.connections import ConnectionPool
 from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
+from gypsumwind.core.isolation import IsolationNotice
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.rate_limits import RateLimit
@@ -46,6 +47,7 @@
     UPSTREAMS_KEY,
     departure_record,
     finding_record,
+    isolation_record,
     rate_limit_to_bytes,
 )
 from gypsumwind.peers import PeerClient, PeerServer, PeerService, ProbeListener
@@ -198,6 +200,7 @@
             self._publish_departure,
             self._publish_rate_limit,
             self._publish_findings,
+            self._publish_isolation,
         )
         spread = PushTask(cfg, snapshots, rng)
         self._records = RecordsActor.start(
@@ -322,6 +325,10 @@
         records = tuple(finding_record(finding) for finding in findings)
         self._records.tell(msg.PutRecords(records))
 
+    def _publish_isolation(self, notice: IsolationNotice) -> None:
+        """Publish to the VMs of all zones whether this VM reaches instances."""
+        self._records.tell(msg.PutRecords((isolation_record(notice),)))
+
     def _put(self, key: str, version: Version, doc: Any) -> None:
         record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
         self._records.tell(msg.PutRecords((record,)))
@@ -346,10 +353,11 @@
         members = snapshots.members.live() + (
             [] if snapshots.leaving else [snapshots.members.local]
         )
+        alive = [m for m in members if m.state is State.ALIVE]
+        epoch = wall()
+        serving = [m for m in alive if not snapshots.isolated(m.vm, epoch)]
         entries = [
-            Entry(m.vm, m.zone, m.endpoint.ip, m.endpoint.caller_port)
-            for m in members
-            if m.state is State.ALIVE
+            Entry(m.vm, m.zone, m.endpoint.ip, m.endpoint.caller_port) for m in serving or alive
         ]
         homes = snapshots.rules.regions_of(host) if snapshots.rules else frozenset()
         return entries_for(entries, self._steering.regions, region, zone, homes)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -8,11 +8,19 @@
 from gypsumwind import messages as msg
 from gypsumwind.actors import Actor
 from gypsumwind.core.crashes import CrashHistory, CrashReport, Finding
-from gypsumwind.core.decisions import QUARANTINED, Decision, Placed, PlacementRequest, Refused
+from gypsumwind.core.decisions import (
+    ISOLATED,
+    QUARANTINED,
+    Decision,
+    Placed,
+    PlacementRequest,
+    Refused,
+)
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.dispatch import ColdBound, Dispatcher
 from gypsumwind.core.fleet import Fleet
 from gypsumwind.core.instances import Outcome
+from gypsumwind.core.isolation import NOTICE_INTERVAL_S, IsolationDetector, IsolationNotice
 from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.restores import ClosedZones, InstanceHistory
 from gypsumwind.core.retry_budget import FleetRetryBudget
@@ -26,6 +34,9 @@
 
 log = Log("dispatchers")
 
+ISOLATED_RETRY_S = 0.1
+"""Retry-After, for a retry at another VM, while this one reaches no instance."""
+
 
 class DispatchActor(Actor):
     """Owns the dispatcher, its queue of waiting requests, and the retry budgets."""
@@ -39,8 +50,12 @@
         publish_departure: Callable[[Departure], None] = lambda departure: None,
         publish_rate_limit: Callable[[RateLimit], None] = lambda limit: None,
         publish_findings: Callable[[list[Finding]], None] = lambda findings: None,
+        publish_isolation: Callable[[IsolationNotice], None] = lambda notice: None,
     ) -> None:
         super().__init__()
+        self._publish_isolation = publish_isolation
+        self._isolation = IsolationDetector()
+        self._isolation_notice: IsolationNotice | None = None
         self._publish_findings = publish_findings
         self._crashes = CrashHistory()
         self._quarantined: frozenset[str] = frozenset()
@@ -101,12 +116,16 @@
         if request.fingerprint in self._quarantined:
             self._deliver(request.ticket, self._refusal(request), now)
             return
+        if not self._isolation.admits(now):
+            self._deliver(request.ticket, Refused(ISOLATED, ISOLATED_RETRY_S), now)
+            return
         decision = self._dispatcher.place(request, now)
         if decision is not None:
             self._deliver(request.ticket, decision, now)
 
     def _finish_send(self, message: msg.SendFinished, now: float) -> None:
         up = message.upstream
+        self._isolation.record_end(message.ticket, message.responded, now)
         if message.closing:
             self._dispatcher.record_connection_close(up, now)
         if message.leaving and self._dispatcher.record_departure(up.id, up.incarnation):
@@ -156,11 +175,26 @@
             for request in self._dispatcher.withdraw(self._quarantined):
                 self._deliver(request.ticket, self._refusal(request), now)
 
+    def _notify_isolation(self, epoch: float) -> None:
+        """Notify the other VMs when this VM becomes isolated, while it is, and when it ends."""
+        isolated, last = self._isolation.isolated, self._isolation_notice
+        changed = isolated != (last is not None and last.isolated)
+        if not changed and not (isolated and last and epoch >= last.at + NOTICE_INTERVAL_S):
+            return
+        if changed:
+            log.warning("isolation-changed", isolated=isolated)
+            if not isolated:
+                self._dispatcher.clear_ejections()
+        notice = self._isolation_notice = IsolationNotice(self._cfg.vm, isolated, epoch)
+        self._publish_isolation(notice)
+
     def _refusal(self, request: PlacementRequest) -> Refused:
         until = self._crashes.quarantined_until(request.fingerprint) or 0.0
         return Refused(QUARANTINED, max(0.0, until - wall()))
 
     def _tick(self, now: float) -> None:
+        self._isolation.step(len(self._dispatcher.instances), now)
+        self._notify_isolation(wall())
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
             self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
@@ -188,6 +222,8 @@
         try:
             if future is not None:
                 future.set_result(decision)
+                if isinstance(decision, Placed):
+                    self._isolation.record_send(ticket, decision.upstream.id, now)
                 return True
         except InvalidStateError:
             log.info("place-unwanted", ticket=ticket)
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -78,7 +78,8 @@
     the pause that the instance requests with Retry-After, in seconds. `rate_limit`: the requests
     per second that it accepts from all VMs, inf if it states no limit, None if that is unknown.
     `crashed_at`: when the instance ended while it had the request, in epoch seconds; None if it
-    still listens at its address or if that is unknown.
+    still listens at its address or if that is unknown. `responded`: bytes of a response arrived;
+    None if the send ended before any could be expected.
     """
 
     outcome: str
@@ -90,6 +91,7 @@
     pause_s: float = 0.0
     rate_limit: float | None = None
     crashed_at: float | None = None
+    responded: bool | None = None
     elapsed_s: float = 0.0
 
 
@@ -120,8 +122,16 @@
             conn.close()
             raise
         elapsed_s, ended_at = monotonic() - started, wall()
+        sent_none = sent.error is not None and sent.error.verdict is Verdict.NOT_RUN
+        open_end = sent.outcome == Outcome.CANCELLED or (sent_none and sent.outcome == Outcome.LATE)
+        responded = None if open_end else conn.received > 0
         crashed = sent.outcome == Outcome.CUT and self._has_crashed(up, req)
-        return replace(sent, elapsed_s=elapsed_s, crashed_at=ended_at if crashed else None)
+        return replace(
+            sent,
+            elapsed_s=elapsed_s,
+            crashed_at=ended_at if crashed else None,
+            responded=responded,
+        )
 
     def _acquire(self, up: Upstream, req: Request) -> tuple[TrackedConnection, bool]:
         """Return a connection and whether it is open; none on which this request was refused.
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -131,7 +131,7 @@
             if isinstance(placed, RequestError):
                 last_error = last_error or placed
                 break
-            sent = self._send(placed, req, rule, attempt)
+            sent = self._send(placed, req, rule, attempt, placement_request.ticket)
             if sent.answer is not None and not self._should_retry_failure(sent, req, rule, attempt):
                 return sent.answer
             last_error = self._error_of(sent)
@@ -190,7 +190,9 @@
         text = f"no instance of {placement_request.service} has room: {decision.reason}"
         return RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, decision.retry_after_s)
 
-    def _send(self, placed: Placed, req: Request, rule: Rule, attempt: int) -> SendResult:
+    def _send(
+        self, placed: Placed, req: Request, rule: Rule, attempt: int, ticket: int
+    ) -> SendResult:
         up = placed.upstream
         sent = SendResult(Outcome.CANCELLED)
         try:
@@ -208,6 +210,8 @@
                     sent.rate_limit,
                     req.fingerprint,
                     sent.crashed_at,
+                    ticket,
+                    sent.responded,
                 )
             )
         if sent.rate_limit is not None and sent.rate_limit < math.inf:
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -14,7 +14,7 @@
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.steering import HeaderNames
-from gypsumwind.utils import monotonic
+from gypsumwind.utils import monotonic, wall
 
 log = Log("fronts")
 
@@ -159,7 +159,7 @@
     def _reply(self, ex: Exchange, served: "RequestResult") -> str:
         """Write the response; return its status or the code of the error."""
         if served.answer is not None:
-            ex.send_response(served.answer, self._cfg.vm, self._snapshots.leaving)
+            ex.send_response(served.answer, self._cfg.vm, self._sends_away())
             return str(served.answer.status)
         assert served.error is not None
         self._send_error(ex, served.error)
@@ -179,7 +179,11 @@
             verdict=exc.verdict.value,
             error=exc.message,
         )
-        ex.send_error(exc, self._cfg.vm, self._snapshots.leaving, fractions=True)
+        ex.send_error(exc, self._cfg.vm, self._sends_away(), fractions=True)
+
+    def _sends_away(self) -> bool:
+        """Return whether callers should use other VMs: this one leaves or reaches no instance."""
+        return self._snapshots.leaving or self._snapshots.isolated(self._cfg.vm, wall())
 
 
 def _as_stopped(exc: RequestError) -> RequestError:
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -353,6 +353,7 @@
     The instance may report that it is draining (`leaving`), request a pause (`pause_s`) and state a
     `rate_limit` in requests per second: inf if its response states none, None if that is unknown.
     `crashed_at`, in epoch seconds, if it crashed under the request, which has this `fingerprint`.
+    `ticket` is that of the placement; `responded` tells whether bytes of a response arrived.
     """
 
     upstream: Upstream
@@ -365,6 +366,8 @@
     rate_limit: float | None = None
     fingerprint: str = ""
     crashed_at: float | None = None
+    ticket: int = 0
+    responded: bool | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -8,9 +8,10 @@
 from gypsumwind import messages as msg
 from gypsumwind.core.crashes import Answered, CrashReport, Finding, Quarantine
 from gypsumwind.core.departures import Departure
+from gypsumwind.core.isolation import IsolationNotice
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.rate_limits import RateLimit
-from gypsumwind.core.records import CRASHES_SCOPE, Record
+from gypsumwind.core.records import HEALTH_SCOPE, Record
 from gypsumwind.core.restores import zone_closures_from_json
 from gypsumwind.core.rules import ruleset_from_json
 from gypsumwind.core.table import ServiceTable, places_from_json, table_from_json
@@ -19,7 +20,7 @@
 from gypsumwind.utils import pack_json, unpack_json, wall
 from gypsumwind.wire import headroom_from_wire, thrift, unpack
 
-FindingT = TypeVar("FindingT", CrashReport, Answered, Quarantine)
+FindingT = TypeVar("FindingT", CrashReport, Answered, Quarantine, IsolationNotice)
 
 TABLE_PREFIX = "table/"
 PLACES_KEY = "places"
@@ -36,6 +37,7 @@
 CRASH_PREFIX = "crash/"
 ANSWERED_PREFIX = "answered/"
 QUARANTINE_PREFIX = "quarantine/"
+ISOLATION_PREFIX = "isolation/"
 
 EXPIRING_PREFIXES = (
     HEIR_PREFIX,
@@ -44,6 +46,7 @@
     CRASH_PREFIX,
     ANSWERED_PREFIX,
     QUARANTINE_PREFIX,
+    ISOLATION_PREFIX,
 )
 """Key prefixes of records that cannot be decoded once they have expired."""
 
@@ -124,7 +127,13 @@
             key, version = ANSWERED_PREFIX + name, _milliseconds(finding.sent_at)
         case Quarantine():
             key, version = QUARANTINE_PREFIX + name, _milliseconds(finding.since)
-    return Record(key, version, CRASHES_SCOPE, pack_json(asdict(finding)))
+    return Record(key, version, HEALTH_SCOPE, pack_json(asdict(finding)))
+
+
+def isolation_record(notice: IsolationNotice) -> Record:
+    """Return the record of a VM's notice that it is isolated or no longer is."""
+    key = ISOLATION_PREFIX + notice.vm
+    return Record(key, _milliseconds(notice.at), HEALTH_SCOPE, pack_json(asdict(notice)))
 
 
 def _milliseconds(seconds: float) -> int:
@@ -181,10 +190,16 @@
     return _unexpired(Quarantine(str(doc["fingerprint"]), float(doc["since"])))
 
 
+def _isolation_from_bytes(payload: bytes) -> IsolationNotice:
+    doc = unpack_json(payload)
+    notice = IsolationNotice(str(doc["vm"]), doc["isolated"] is True, float(doc["at"]))
+    return _unexpired(notice)
+
+
 def _unexpired(finding: FindingT) -> FindingT:
     """Return a finding; ValueError if it has expired or never does."""
     if not wall() < finding.expires < math.inf:
-        raise ValueError(f"finding on {finding.fingerprint!r} has expired")
+        raise ValueError(f"{finding!r} has expired")
     return finding
 
 
@@ -207,5 +222,6 @@
     CRASH_PREFIX: _crash_from_bytes,
     ANSWERED_PREFIX: _answered_from_bytes,
     QUARANTINE_PREFIX: _quarantine_from_bytes,
+    ISOLATION_PREFIX: _isolation_from_bytes,
 }
 """Decoders of the other records, by the prefix of their keys."""
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -9,8 +9,9 @@
 from gypsumwind.actors import Actor
 from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
+from gypsumwind.core.isolation import IsolationNotice
 from gypsumwind.core.rate_limits import RateLimit
-from gypsumwind.core.records import CONFIG_SCOPE, CRASHES_SCOPE, Record, Records
+from gypsumwind.core.records import CONFIG_SCOPE, HEALTH_SCOPE, Record, Records
 from gypsumwind.core.routes import build_route
 from gypsumwind.core.table import ServiceTable
 from gypsumwind.errors import TableError
@@ -38,7 +39,7 @@
 
 log = Log("records")
 
-Expiring = TypeVar("Expiring", Departure, RateLimit, Finding)
+Expiring = TypeVar("Expiring", Departure, RateLimit, Finding | IsolationNotice)
 """A value that VMs gossip until it expires."""
 
 
@@ -59,7 +60,7 @@
         self._snapshots = snapshots
         self._gate = gate
         self._push_records = push_records
-        self._findings: dict[str, Finding] = {}
+        self._findings: dict[str, Finding | IsolationNotice] = {}
 
     def handle(self, message: Any) -> Any:
         """Handle `PutRecords`, `PublishRecord` and the queries for records."""
@@ -95,20 +96,27 @@
             self._publish(record, value)
             if isinstance(value, ServiceTable):
                 tables.append(value)
-            elif record.scope == CRASHES_SCOPE:
+            elif record.scope == HEALTH_SCOPE:
                 self._findings[record.key] = value
-                findings.append(value)
+                if isinstance(value, IsolationNotice):
+                    self._publish_isolation(value)
+                else:
+                    findings.append(value)
         config = [record for record in stored if is_config(record.key)]
         if config:
             self._publish_routes(config, tables)
             self._snapshots.tables_hash = self._records.digest(CONFIG_SCOPE, is_config)
         if findings:
             self._gate.tell(msg.ApplyFindings(tuple(findings)))
-        pushed = config + [record for record in stored if record.scope == CRASHES_SCOPE]
+        pushed = config + [record for record in stored if record.scope == HEALTH_SCOPE]
         if pushed:
             self._push_records(pushed)
         return stored
 
+    def _publish_isolation(self, notice: IsolationNotice) -> None:
+        snapshots = self._snapshots
+        snapshots.isolations = {**snapshots.isolations, notice.vm: notice}
+
     def _publish_routes(self, changed: list[Record], tables: list[ServiceTable]) -> None:
         """Rebuild the routes of the changed tables, or of all after a change of the places."""
         if any(record.key == PLACES_KEY for record in changed):
@@ -179,7 +187,7 @@
     def _publish_steering(self, record: Record, value: Any) -> None:
         """Publish a record that direct mode uses, and notify the dispatch actor."""
         snapshots = self._snapshots
-        if record.scope == CRASHES_SCOPE:
+        if record.scope == HEALTH_SCOPE:
             return
         if record.key == RULES_KEY:
             snapshots.rules = value
--- a/gypsumwind/snapshots.py
+++ b/gypsumwind/snapshots.py
@@ -6,6 +6,7 @@
 
 from gypsumwind.core.admission import Headroom
 from gypsumwind.core.departures import Departure
+from gypsumwind.core.isolation import IsolationNotice
 from gypsumwind.core.membership import Member, State
 from gypsumwind.core.ownership import Hold
 from gypsumwind.core.rate_limits import RateLimit
@@ -95,7 +96,7 @@
 
 
 class Snapshots:
-    """The latest snapshots; those from the rules to the rate limits are for direct daemons.
+    """The latest snapshots; those from the rules to the isolations are for direct daemons.
 
     `steering_ready` is set once rules and upstreams are known.
     """
@@ -116,9 +117,15 @@
         "closed_zones",
         "departures",
         "rate_limits",
+        "isolations",
         "steering_ready",
     )
 
+    def isolated(self, vm: str, epoch: float) -> bool:
+        """Return whether a VM reaches no instance, by its last notice."""
+        notice = self.isolations.get(vm)
+        return notice is not None and notice.isolated and notice.expires > epoch
+
     def __init__(self, local: Member) -> None:
         self.members = MembersView(local, {}, {})
         self.routes: Mapping[str, ServiceRoute] = {}
@@ -135,4 +142,5 @@
         self.closed_zones = ZoneClosures()
         self.departures: Mapping[str, Departure] = {}
         self.rate_limits: Mapping[str, RateLimit] = {}
+        self.isolations: Mapping[str, IsolationNotice] = {}
         self.steering_ready = threading.Event()
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -28,6 +28,9 @@
 
     A request whose path is in `deadly` crashes the instance, for `restart_s`; `crashes` has the
     times.
+
+    `cut_from` maps addresses of VMs to how they are partitioned from the instance: reset, hang, or
+    refuse-new (open connections live on).
     """
 
     def __init__(self, name, ip="127.0.0.1", service_time_s=0.0):
@@ -39,6 +42,7 @@
         self.ran = []
         self.received = []
         self.arrivals = []
+        self.cut_from = {}
         self.deadly = ()
         self.restart_s = 2.0
         self.crashes = []
@@ -47,8 +51,20 @@
 
 
 class _Handler(QuietHandler):
+    def handle(self):
+        if self._partition() != "refuse-new":
+            super().handle()
+
+    def _partition(self):
+        return self.server.standin.cut_from.get(self.client_address[0])
+
     def do_GET(self):
         up = self.server.standin
+        while self._partition() == "hang":
+            time.sleep(0.1)
+        if self._partition() == "reset":
+            self.close_connection = True
+            return
         body = self._body()
         if body is None:
             self.close_connection = True
