A record in a scope of other kinds does not stop gossip

Found on reading: the records actor took any record of the health scope for a finding. A valid record of another kind in that scope (another VM's fault) would have ended every answer to digests, and with it anti-entropy at this VM. The type of the value decides now. test_record_in_a_scope_of_other_kinds_does_not_ stop_gossip failed before (no digests) and passes.

--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -21,6 +21,7 @@
     DEPARTURE_PREFIX,
     EXPIRING_PREFIXES,
     HEIR_PREFIX,
+    ISOLATION_PREFIX,
     PLACES_KEY,
     RATE_LIMIT_PREFIX,
     RULES_KEY,
@@ -39,7 +40,7 @@
 
 log = Log("records")
 
-Expiring = TypeVar("Expiring", Departure, RateLimit, Finding | IsolationNotice)
+Expiring = TypeVar("Expiring", Departure, RateLimit, Finding, IsolationNotice)
 """A value that VMs gossip until it expires."""
 
 
@@ -60,7 +61,7 @@
         self._snapshots = snapshots
         self._gate = gate
         self._push_records = push_records
-        self._findings: dict[str, Finding | IsolationNotice] = {}
+        self._findings: dict[str, Finding] = {}
 
     def handle(self, message: Any) -> Any:
         """Handle `PutRecords`, `PublishRecord` and the queries for records."""
@@ -96,12 +97,9 @@
             self._publish(record, value)
             if isinstance(value, ServiceTable):
                 tables.append(value)
-            elif record.scope == HEALTH_SCOPE:
+            elif isinstance(value, Finding):
                 self._findings[record.key] = value
-                if isinstance(value, IsolationNotice):
-                    self._publish_isolation(value)
-                else:
-                    findings.append(value)
+                findings.append(value)
         config = [record for record in stored if is_config(record.key)]
         if config:
             self._publish_routes(config, tables)
@@ -113,10 +111,6 @@
             self._push_records(pushed)
         return stored
 
-    def _publish_isolation(self, notice: IsolationNotice) -> None:
-        snapshots = self._snapshots
-        snapshots.isolations = {**snapshots.isolations, notice.vm: notice}
-
     def _publish_routes(self, changed: list[Record], tables: list[ServiceTable]) -> None:
         """Rebuild the routes of the changed tables, or of all after a change of the places."""
         if any(record.key == PLACES_KEY for record in changed):
@@ -139,6 +133,7 @@
     def _prune_expired(self) -> None:
         """Remove the departures, limits and findings that VMs have gossiped for long enough."""
         snapshots = self._snapshots
+        snapshots.isolations = self._unexpired(ISOLATION_PREFIX, snapshots.isolations)
         self._findings = dict(self._unexpired("", self._findings))
         snapshots.departures = self._unexpired(DEPARTURE_PREFIX, snapshots.departures)
         snapshots.rate_limits = self._unexpired(RATE_LIMIT_PREFIX, snapshots.rate_limits)
@@ -181,14 +176,14 @@
             snapshots.zones = {**snapshots.zones, value.zone: value}
         elif record.key == VMLIST_KEY:
             self._gate.tell(msg.SyncLeaving(frozenset(value)))
-        else:
+        elif isinstance(value, IsolationNotice):
+            snapshots.isolations = {**snapshots.isolations, value.vm: value}
+        elif not isinstance(value, Finding):
             self._publish_steering(record, value)
 
     def _publish_steering(self, record: Record, value: Any) -> None:
         """Publish a record that direct mode uses, and notify the dispatch actor."""
         snapshots = self._snapshots
-        if record.scope == HEALTH_SCOPE:
-            return
         if record.key == RULES_KEY:
             snapshots.rules = value
             log.info("rules-in-force", version=value.version)
