A VM that was paused does not take itself for isolated

Found on reading: after a pause of the process (freeze) all its sends have waited for long, and their responses are still to be read, so the first tick concluded that no instance responds, refused requests and notified the others. The lack of responses must last for 0.3 s now.

--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -19,6 +19,10 @@
 """Time, in seconds, after which a send without a response counts as failed here: other instances
 respond within it, however slow this one is."""
 
+CONFIRM_S = 0.3
+"""Time, in seconds, for which the lack of responses must last: after a pause of the process, the
+responses that arrived meanwhile are read within it."""
+
 TRIAL_INTERVAL_S = 0.5
 """Interval, in seconds, between the requests that an isolated VM tries to serve."""
 
@@ -46,13 +50,14 @@
 class IsolationDetector:
     """Tracks the sends of this VM and their responses."""
 
-    __slots__ = ("isolated", "_waiting", "_failed", "_last_response", "_next_trial_at")
+    __slots__ = ("isolated", "_waiting", "_failed", "_last_response", "_since", "_next_trial_at")
 
     def __init__(self) -> None:
         self.isolated = False
         self._waiting: dict[int, tuple[str, float]] = {}
         self._failed: list[str] = []
         self._last_response = -math.inf
+        self._since: float | None = None
         self._next_trial_at = -math.inf
 
     def record_send(self, ticket: int, instance: str, now: float) -> None:
@@ -71,6 +76,7 @@
         """Record a response of an instance, which ends the isolation."""
         self._last_response = now
         self._failed.clear()
+        self._since = None
         self.isolated = False
 
     def step(self, instances: int, now: float) -> bool:
@@ -84,7 +90,11 @@
         ]
         unanswered = self._failed + stalled
         spread = len(set(unanswered)) >= min(MIN_INSTANCES, instances)
-        self.isolated = spread and len(unanswered) >= MIN_SENDS
+        if not spread or len(unanswered) < MIN_SENDS:
+            self._since = None
+            return False
+        self._since = now if self._since is None else self._since
+        self.isolated = now >= self._since + CONFIRM_S
         self._next_trial_at = now + TRIAL_INTERVAL_S
         return self.isolated
 
