--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -293,8 +293,8 @@
     def serve(sock):
         with sock, suppress(OSError):
             while sock.recv(65536):
-                sock.sendall(responses[len(ran)])
                 ran.append(responses[len(ran)])
+                sock.sendall(ran[-1])
 
     def accept():
         with suppress(OSError):
