--- a/gypsumwind/connections.py
+++ b/gypsumwind/connections.py
@@ -158,7 +158,7 @@
             conn.connect()
         except (HTTPError, OSError) as exc:
             conn.close()
-            return isinstance(_origin(exc), ConnectionRefusedError)
+            return isinstance(exc.__cause__, ConnectionRefusedError)
         self.release(conn, None)
         return False
 
@@ -192,11 +192,6 @@
             return last
 
 
-def _origin(exc: Exception) -> BaseException:
-    """Return the exception from which the client library raised this one."""
-    return exc.__cause__ or exc
-
-
 def _readable(sock: socket.socket) -> bool:
     """Return whether an idle connection was closed by its peer or has unexpected bytes."""
     try:
--- a/gypsumwind/core/decisions.py
+++ b/gypsumwind/core/decisions.py
@@ -7,7 +7,6 @@
 QUARANTINED = "quarantined"
 """Reason of the refusal of a request that crashes the instances that run it."""
 
-
 ISOLATED = "isolated"
 """Reason of the refusal of a request while this VM reaches no instance."""
 
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -14,7 +14,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from gypsumwind.core.decisions import Decision, Placed, PlacementRequest, Refused
@@ -367,16 +367,19 @@
 
     def cancel(self, ticket: int) -> None:
         """Remove a request from the queue."""
-        for state in self._services.values():
-            state.queue = [w for w in state.queue if w.request.ticket != ticket]
+        self._remove_queued(lambda request: request.ticket == ticket)
 
     def withdraw(self, fingerprints: frozenset[str]) -> list[PlacementRequest]:
         """Remove the requests with these fingerprints from the queue and return them."""
+        return self._remove_queued(lambda request: request.fingerprint in fingerprints)
+
+    def _remove_queued(
+        self, selected: Callable[[PlacementRequest], bool]
+    ) -> list[PlacementRequest]:
         removed: list[PlacementRequest] = []
         for state in self._services.values():
-            found = [w for w in state.queue if w.request.fingerprint in fingerprints]
-            state.queue = [w for w in state.queue if w not in found]
-            removed.extend(entry.request for entry in found)
+            removed += [w.request for w in state.queue if selected(w.request)]
+            state.queue = [w for w in state.queue if not selected(w.request)]
         return removed
 
     def drain_queue(self, now: float) -> list[tuple[int, Decision]]:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from contextlib import ExitStack
 from dataclasses import asdict
 from typing import Any
@@ -47,8 +47,7 @@
     RULES_KEY,
     UPSTREAMS_KEY,
     departure_record,
-    finding_record,
-    isolation_record,
+    health_record,
     rate_limit_to_bytes,
 )
 from gypsumwind.peers import PeerClient, PeerServer, PeerService, ProbeListener
@@ -200,8 +199,7 @@
             rng,
             self._publish_departure,
             self._publish_rate_limit,
-            self._publish_findings,
-            self._publish_isolation,
+            self._publish_health,
         )
         spread = PushTask(cfg, snapshots, rng)
         self._records = RecordsActor.start(
@@ -322,14 +320,9 @@
         key = RATE_LIMIT_PREFIX + limit.id
         self._records.tell(msg.PublishRecord(key, CONFIG_SCOPE, rate_limit_to_bytes(limit)))
 
-    def _publish_findings(self, findings: list[Finding]) -> None:
-        """Publish findings on requests that crash instances to the VMs of all zones."""
-        records = tuple(finding_record(finding) for finding in findings)
-        self._records.tell(msg.PutRecords(records))
-
-    def _publish_isolation(self, notice: IsolationNotice) -> None:
-        """Publish to the VMs of all zones whether this VM reaches instances."""
-        self._records.tell(msg.PutRecords((isolation_record(notice),)))
+    def _publish_health(self, found: Sequence[Finding | IsolationNotice]) -> None:
+        """Publish findings on requests that crash instances, or a notice, to all zones."""
+        self._records.tell(msg.PutRecords(tuple(map(health_record, found))))
 
     def _put(self, key: str, version: Version, doc: Any) -> None:
         record = Record(key, version.revision, CONFIG_SCOPE, pack_json(doc), version.era)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -1,7 +1,7 @@
 """The actor that assigns requests to upstream instances in direct mode."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, InvalidStateError
 from typing import Any
 
@@ -49,14 +49,12 @@
         rng: random.Random,
         publish_departure: Callable[[Departure], None] = lambda departure: None,
         publish_rate_limit: Callable[[RateLimit], None] = lambda limit: None,
-        publish_findings: Callable[[list[Finding]], None] = lambda findings: None,
-        publish_isolation: Callable[[IsolationNotice], None] = lambda notice: None,
+        publish_health: Callable[[Sequence[Finding | IsolationNotice]], None] = lambda found: None,
     ) -> None:
         super().__init__()
-        self._publish_isolation = publish_isolation
+        self._publish_health = publish_health
         self._isolation = IsolationDetector()
         self._isolation_notice: IsolationNotice | None = None
-        self._publish_findings = publish_findings
         self._crashes = CrashHistory()
         self._quarantined: frozenset[str] = frozenset()
         self._publish_departure = publish_departure
@@ -162,7 +160,7 @@
         elif message.outcome in (Outcome.OK, Outcome.FAILED):
             findings = self._crashes.record_answer(name, epoch - message.seconds, epoch)
             if findings:
-                self._publish_findings(findings)
+                self._publish_health(findings)
                 self._apply_quarantines()
 
     def _apply_quarantines(self) -> None:
@@ -188,7 +186,7 @@
             if not isolated:
                 self._dispatcher.clear_ejections()
         notice = self._isolation_notice = IsolationNotice(self._cfg.vm, isolated, epoch)
-        self._publish_isolation(notice)
+        self._publish_health([notice])
 
     def _refusal(self, request: PlacementRequest) -> Refused:
         until = self._crashes.quarantined_until(request.fingerprint) or 0.0
@@ -202,7 +200,7 @@
             self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
         findings = self._crashes.step(wall())
         if findings:
-            self._publish_findings(findings)
+            self._publish_health(findings)
         if self._crashes.quarantined != self._quarantined:
             self._apply_quarantines()
         if self._closed_zones.expire(now):
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -122,9 +122,7 @@
             conn.close()
             raise
         elapsed_s, ended_at = monotonic() - started, wall()
-        sent_none = sent.error is not None and sent.error.verdict is Verdict.NOT_RUN
-        open_end = sent.outcome == Outcome.CANCELLED or (sent_none and sent.outcome == Outcome.LATE)
-        responded = None if open_end else conn.received > 0
+        responded = _has_responded(conn, sent)
         crashed = sent.outcome == Outcome.CUT and self._has_crashed(up, req)
         return replace(
             sent,
@@ -337,6 +335,16 @@
         )
 
 
+def _has_responded(conn: TrackedConnection, sent: SendResult) -> bool | None:
+    """Return whether bytes of a response arrived; None if there was no time or no need for any."""
+    if sent.outcome == Outcome.CANCELLED:
+        return None
+    never_sent = sent.error is not None and sent.error.verdict is Verdict.NOT_RUN
+    if sent.outcome == Outcome.LATE and never_sent:
+        return None
+    return conn.received > 0
+
+
 def _broken_exchange(conn: TrackedConnection, exc: Exception) -> SendResult:
     """Close the connection and return the result of a send without a whole response."""
     conn.close()
--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -144,10 +144,11 @@
         if not served.admitted:
             text = "too many requests are in flight at this VM"
             raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BUSY_RETRY_S)
-        deadline = self._forwarder.deadline_of(ex, rule, served.arrived_at)
-        if self.shutdown is not None and not self.shutdown.accepts(monotonic(), deadline):
-            text = "this VM stops"
-            raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, STOPPING_RETRY_S)
+        if self.shutdown is not None:
+            deadline = self._forwarder.deadline_of(ex, rule, served.arrived_at)
+            if not self.shutdown.accepts(monotonic(), deadline):
+                text = "this VM stops"
+                raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, STOPPING_RETRY_S)
         return rule
 
     def _await_config(self) -> None:
--- a/gypsumwind/payloads.py
+++ b/gypsumwind/payloads.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import asdict
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from gypsumwind import messages as msg
 from gypsumwind.core.crashes import Answered, CrashReport, Finding, Quarantine
@@ -20,7 +20,17 @@
 from gypsumwind.utils import pack_json, unpack_json, wall
 from gypsumwind.wire import headroom_from_wire, thrift, unpack
 
-FindingT = TypeVar("FindingT", CrashReport, Answered, Quarantine, IsolationNotice)
+
+class HasExpiry(Protocol):
+    """A value that VMs gossip until it expires."""
+
+    @property
+    def expires(self) -> float:
+        """Return when VMs stop gossiping it, in epoch seconds."""
+        ...
+
+
+Expiring = TypeVar("Expiring", bound=HasExpiry)
 
 TABLE_PREFIX = "table/"
 PLACES_KEY = "places"
@@ -33,7 +43,6 @@
 CLOSED_ZONES_KEY = "steering/closed-zones"
 DEPARTURE_PREFIX = "departure/"
 RATE_LIMIT_PREFIX = "rate-limit/"
-
 CRASH_PREFIX = "crash/"
 ANSWERED_PREFIX = "answered/"
 QUARANTINE_PREFIX = "quarantine/"
@@ -116,28 +125,20 @@
     return pack_json(asdict(limit) | {"per_s": limit.per_s if limit.per_s < math.inf else None})
 
 
-def finding_record(finding: Finding) -> Record:
-    """Return the record of a finding on a request that crashes instances."""
-    name = finding.fingerprint
-    match finding:
+def health_record(found: Finding | IsolationNotice) -> Record:
+    """Return the record of a finding on a request that crashes instances, or of a notice."""
+    match found:
         case CrashReport():
-            key = f"{CRASH_PREFIX}{name}/{finding.instance}/{_milliseconds(finding.sent_at)}"
-            version = _milliseconds(finding.crashed_at)
+            sent_ms = int(found.sent_at * 1000)
+            key = f"{CRASH_PREFIX}{found.fingerprint}/{found.instance}/{sent_ms}"
+            at = found.crashed_at
         case Answered():
-            key, version = ANSWERED_PREFIX + name, _milliseconds(finding.sent_at)
+            key, at = ANSWERED_PREFIX + found.fingerprint, found.sent_at
         case Quarantine():
-            key, version = QUARANTINE_PREFIX + name, _milliseconds(finding.since)
-    return Record(key, version, HEALTH_SCOPE, pack_json(asdict(finding)))
-
-
-def isolation_record(notice: IsolationNotice) -> Record:
-    """Return the record of a VM's notice that it is isolated or no longer is."""
-    key = ISOLATION_PREFIX + notice.vm
-    return Record(key, _milliseconds(notice.at), HEALTH_SCOPE, pack_json(asdict(notice)))
-
-
-def _milliseconds(seconds: float) -> int:
-    return int(seconds * 1000)
+            key, at = QUARANTINE_PREFIX + found.fingerprint, found.since
+        case IsolationNotice():
+            key, at = ISOLATION_PREFIX + found.vm, found.at
+    return Record(key, int(at * 1000), HEALTH_SCOPE, pack_json(asdict(found)))
 
 
 def _table_from_bytes(payload: bytes) -> ServiceTable:
@@ -151,9 +152,7 @@
         departure = Departure(name, incarnation, float(doc["heard_at"]))
     except (KeyError, TypeError) as exc:
         raise ValueError(f"malformed departure: {exc!r}") from exc
-    if departure.expires <= wall():
-        raise ValueError(f"departure of {name!r} has expired")
-    return departure
+    return _unexpired(departure)
 
 
 def _rate_limit_from_bytes(payload: bytes) -> RateLimit:
@@ -162,9 +161,7 @@
     if not per_s >= 0.0:
         raise ValueError(f"malformed rate limit: {per_s!r} per second")
     limit = RateLimit(str(doc["id"]), int(doc["incarnation"]), per_s, float(doc["heard_at"]))
-    if limit.expires <= wall():
-        raise ValueError(f"rate limit of {limit.id!r} has expired")
-    return limit
+    return _unexpired(limit)
 
 
 def _crash_from_bytes(payload: bytes) -> CrashReport:
@@ -196,11 +193,11 @@
     return _unexpired(notice)
 
 
-def _unexpired(finding: FindingT) -> FindingT:
-    """Return a finding; ValueError if it has expired or never does."""
-    if not wall() < finding.expires < math.inf:
-        raise ValueError(f"{finding!r} has expired")
-    return finding
+def _unexpired(value: Expiring) -> Expiring:
+    """Return a value; ValueError if it has expired or never does."""
+    if not wall() < value.expires < math.inf:
+        raise ValueError(f"{value!r} has expired")
+    return value
 
 
 DECODERS_BY_KEY: Mapping[str, Callable[[bytes], Any]] = {
--- a/gypsumwind/records.py
+++ b/gypsumwind/records.py
@@ -1,16 +1,14 @@
 """Records actor: stores the versioned records and publishes their decoded values."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, TypeVar
+from typing import Any
 
 import pykka
 
 from gypsumwind import messages as msg
 from gypsumwind.actors import Actor
 from gypsumwind.core.crashes import Finding
-from gypsumwind.core.departures import Departure
 from gypsumwind.core.isolation import IsolationNotice
-from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import CONFIG_SCOPE, HEALTH_SCOPE, Record, Records
 from gypsumwind.core.routes import build_route
 from gypsumwind.core.table import ServiceTable
@@ -30,6 +28,7 @@
     VM_PREFIX,
     VMLIST_KEY,
     ZONE_PREFIX,
+    Expiring,
     decode,
     decode_table,
     heir_key,
@@ -40,9 +39,6 @@
 
 log = Log("records")
 
-Expiring = TypeVar("Expiring", Departure, RateLimit, Finding, IsolationNotice)
-"""A value that VMs gossip until it expires."""
-
 
 class RecordsActor(Actor):
     """Stores the versioned records, publishes snapshots of them and pushes new configuration."""
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -16,8 +16,7 @@
     CLOSED_ZONES_KEY,
     HEIR_PREFIX,
     UPSTREAMS_KEY,
-    finding_record,
-    isolation_record,
+    health_record,
 )
 from gypsumwind.records import RecordsActor
 from gypsumwind.snapshots import Snapshots
@@ -74,8 +73,8 @@
     gate = started(SummingActor)
     records = started(RecordsActor, snapshots, "a1", "a", gate, lambda found: None)
     closed = zone_closures_to_json(ZoneClosures(Version(0, 5), {"a2": 4}))
-    notice = isolation_record(IsolationNotice("v2", True, wall()))
-    quarantine = finding_record(Quarantine("f", wall()))
+    notice = health_record(IsolationNotice("v2", True, wall()))
+    quarantine = health_record(Quarantine("f", wall()))
     odd = (
         Record(CLOSED_ZONES_KEY, 5, HEALTH_SCOPE, pack_json(closed)),
         replace(notice, scope=CONFIG_SCOPE),
--- a/tests/test_payloads.py
+++ b/tests/test_payloads.py
@@ -13,7 +13,7 @@
     DECODERS_BY_PREFIX,
     decode,
     departure_record,
-    finding_record,
+    health_record,
 )
 from gypsumwind.utils import pack_json, wall
 
@@ -53,6 +53,6 @@
         return finding_type("f", at)
 
     recent = found_at(wall())
-    assert decode(finding_record(recent)) == recent
+    assert decode(health_record(recent)) == recent
     with pytest.raises(ValueError, match="expired"):
-        decode(finding_record(found_at(wall() - QUARANTINE_S - 1)))
+        decode(health_record(found_at(wall() - QUARANTINE_S - 1)))
