A full crash history still finds the request that crashes instances

Found in review. With 2,000 reports kept, of the victims of many crashes at once, further reports were dropped for up to 60 s, so a request that crashed instance after instance then was not quarantined. Answers, quarantines and gossiped reports had no bound but their age; a VM announced up to 10 reports every 0.1 s.

Cause: the bound kept what came first. Now the requests that were reported longest ago are forgotten first, by their last report; answers and quarantines are bounded likewise; a VM announces 50 reports in 60 s at most, those of the longest series first.

test_number_of_reports_kept_is_bounded asserted that further reports are dropped, which was the fault. Its bound and its end after 60 s are asserted by test_full_history_forgets_the_requests_reported_longest_ago, with what is kept.

--- a/gypsumwind/core/crashes.py
+++ b/gypsumwind/core/crashes.py
@@ -31,10 +31,15 @@
 """Duration of a quarantine, in seconds; instances may have been fixed by then."""
 
 MAX_REPORTS = 2000
-"""Maximum number of reports kept; further ones are dropped."""
+"""Maximum number of reports, and of responses, kept. Those of the requests that were reported
+longest ago are forgotten first: a request that goes on crashing instances is reported again."""
 
-MAX_REPORTS_PER_ANNOUNCEMENT = 10
-"""Maximum number of own reports announced at a time; further ones are kept for this VM only."""
+MAX_QUARANTINES = 1000
+"""Maximum number of quarantines kept; the oldest are forgotten."""
+
+MAX_ANNOUNCED = 50
+"""Maximum number of own reports that a VM announces within `REPORT_RETENTION_S`, those of the
+longest series first; it keeps the others for itself."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,7 +90,7 @@
 class CrashHistory:
     """What this VM knows of crashes, its own observations and those that it heard of."""
 
-    __slots__ = ("_reports", "_answered", "_quarantines", "_suspects", "_held_back")
+    __slots__ = ("_reports", "_answered", "_quarantines", "_suspects", "_held_back", "_announced")
 
     def __init__(self) -> None:
         self._reports: dict[str, set[CrashReport]] = {}
@@ -93,6 +98,7 @@
         self._quarantines: dict[str, Quarantine] = {}
         self._suspects: dict[str, float] = {}
         self._held_back: list[CrashReport] = []
+        self._announced: list[CrashReport] = []
 
     @property
     def quarantined(self) -> frozenset[str]:
@@ -131,6 +137,7 @@
         """Apply findings of this or other VMs; return whether one of them is news."""
         news = [finding for finding in findings if self._add(finding)]
         if news:
+            self._forget_oldest()
             self._evaluate(epoch)
         return bool(news)
 
@@ -147,17 +154,19 @@
             if name not in self._quarantines and epoch >= since + CONFIRM_S
         ]
         self.apply(confirmed, epoch)
-        return [*kept[:MAX_REPORTS_PER_ANNOUNCEMENT], *confirmed]
+        self._announced = [report for report in self._announced if report.expires > epoch]
+        announced = kept[: MAX_ANNOUNCED - len(self._announced)]
+        self._announced += announced
+        return [*announced, *confirmed]
 
     def _add(self, finding: Finding) -> bool:
         name = finding.fingerprint
         match finding:
             case CrashReport():
                 reports = self._reports.get(name, set())
-                void = finding.crashed_at <= self._answered.get(name, 0.0)
-                full = sum(map(len, self._reports.values())) >= MAX_REPORTS
-                if void or full or finding in reports:
+                if finding.crashed_at <= self._answered.get(name, 0.0) or finding in reports:
                     return False
+                self._reports.pop(name, None)
                 self._reports[name] = reports | {finding}
             case Answered():
                 if finding.sent_at <= self._answered.get(name, 0.0):
@@ -174,6 +183,16 @@
                 self._quarantines[name] = finding
         return True
 
+    def _forget_oldest(self) -> None:
+        """Keep the numbers of reports, responses and quarantines within their bounds."""
+        surplus = sum(map(len, self._reports.values())) - MAX_REPORTS
+        while surplus > 0:
+            surplus -= len(self._reports.pop(next(iter(self._reports))))
+        for name in list(self._answered)[: max(0, len(self._answered) - MAX_REPORTS)]:
+            del self._answered[name]
+        for name in list(self._quarantines)[: max(0, len(self._quarantines) - MAX_QUARANTINES)]:
+            del self._quarantines[name]
+
     def _void_by(self, answered: Answered) -> set[CrashReport]:
         reports = self._reports.get(answered.fingerprint, set())
         return {report for report in reports if report.crashed_at <= answered.sent_at}
