--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -50,6 +50,16 @@
     return answers
 
 
+def send_many(fleet, vm):
+    """Send requests for different objects and return the responses."""
+    keys = [f"many-{n}" for n in range(8)]
+    headers = [{"Gypsumwind-Affinity-Key": key} for key in keys]
+    return [
+        fleet.send(vm, f"/read/{k}", request=k, headers=h)
+        for k, h in zip(keys, headers, strict=True)
+    ]
+
+
 def crash_times(fleet):
     return sorted(at for up in fleet.instances.values() for at in up.crashes)
 
@@ -91,3 +101,28 @@
     assert len(crash_times(fleet)) == crashes
     assert {answer.status for answer in answers} <= {502, 503}
     assert fleet.send(vm, "/read/other", request="other").status == 200
+
+
+def test_requests_that_look_like_a_quarantined_one_are_served(fleet):
+    fleet.set_instances(deadly=(DEADLY,), restart_s=1.0)
+    vms = list(fleet.vms.values())
+    send_deadly(fleet, 3.0, 0.25)
+    wait_until(lambda: all("request-quarantined" in vm.log_path.read_text() for vm in vms))
+    fleet.set_instances(deadly=())
+    for vm in vms:
+        # Each VM sends little to instances that have just restarted.
+        wait_until(
+            lambda vm=vm: not any("no-upstream" in str(a.data) for a in send_many(fleet, vm))
+        )
+    alike = {
+        "another caller": {"headers": {"Authorization": "Bearer other"}},
+        "another query": {"path": f"{DEADLY}?page=2"},
+        "a longer path": {"path": f"{DEADLY}/2"},
+        "another body": {"method": "POST", "body": b"1"},
+        "the same object": {"path": "/read/healthy"},
+    }
+    for vm in vms:
+        for name, values in alike.items():
+            answer = fleet.send(vm, **{"path": DEADLY, "request": f"{vm.name} {name}", **values})
+            assert answer.status == 200, (vm.name, name)
+        assert fleet.send(vm, DEADLY, request=f"{vm.name} again").json()["code"] == "GW323"
