Logs tell by which list an instance was chosen, and who left it (incident DRAIN)

No decision changed. Test: test_log_names_the_instances_that_left_and_those_kept_for_the_grace_period.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -151,6 +151,11 @@
         """Return the state of each listed instance, by id."""
         return self._instances
 
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the ids of the instances that are kept although the list lacks them."""
+        return self._listed.kept
+
     def set_fleet(self, fleet: Fleet, cold_bound: ColdBound, now: float) -> None:
         """Set the VMs of the fleet and the cold-start rate limit that they share."""
         self.fleet = fleet
--- a/gypsumwind/core/lapses.py
+++ b/gypsumwind/core/lapses.py
@@ -29,6 +29,11 @@
         """Return the entries in force by name."""
         return self._values
 
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the names of the entries in their grace period."""
+        return frozenset(self._until)
+
     def apply_list(self, listed: Mapping[str, Any], grace_until: float, now: float) -> None:
         """Apply a complete list; entries in force that it lacks stay until `grace_until`."""
         self.expire(now)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -223,7 +223,15 @@
             self._hub,
         )
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
-        forwarder = Forwarder(snapshots, self._dispatch, self._client, self._names, metrics)
+        upstreams_feed = feed_tasks[UPSTREAMS_KEY]
+        forwarder = Forwarder(
+            snapshots,
+            self._dispatch,
+            self._client,
+            self._names,
+            metrics,
+            lambda: upstreams_feed.age_s,
+        )
         self._front = ForwardingHandler(
             cfg, snapshots, forwarder, self._hangups, metrics, self._names
         )
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -34,6 +34,9 @@
 
 log = Log("dispatchers")
 
+MAX_LOGGED_INSTANCES = 20
+"""Instances that a log line names at most."""
+
 ISOLATED_RETRY_S = 0.1
 """Retry-After, for a retry at another VM, while this one reaches no instance."""
 
@@ -68,6 +71,8 @@
         self._instance_history = InstanceHistory()
         self._closed_zones = ClosedZones()
         self._rules: Ruleset | None = None
+        self._usable: frozenset[str] = frozenset()
+        self._kept: frozenset[str] = frozenset()
 
     def handle(self, message: Any) -> Any:
         """Handle request and steering messages, and Tick."""
@@ -206,6 +211,8 @@
         if self._closed_zones.expire(now):
             self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
         self._dispatch_queued(now)
+        if self._dispatcher.kept != self._kept:
+            self._log_instances()
 
     def _dispatch_queued(self, now: float) -> None:
         """Dispatch queued requests, repeatedly while undelivered decisions free their slots."""
@@ -261,8 +268,25 @@
         self._dispatcher.set_upstreams(entries, now, wall_now, grace_until)
         self._closed_zones.apply_list(snapshots.closed_zones, now)
         self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
+        self._log_instances()
         self._dispatch_queued(now)
 
+    def _log_instances(self) -> None:
+        """Log the instances that became usable or unusable, and those kept for a grace period."""
+        instances, kept = self._dispatcher.instances, self._dispatcher.kept
+        usable = frozenset(name for name, inst in instances.items() if inst.available)
+        added, removed = usable - self._usable, self._usable - usable
+        if added or removed or kept != self._kept:
+            log.info(
+                "instances-changed",
+                list=str(self._snapshots.upstreams.version),
+                usable=len(usable),
+                added=sorted(added)[:MAX_LOGGED_INSTANCES],
+                removed=sorted(removed)[:MAX_LOGGED_INSTANCES],
+                kept=sorted(kept)[:MAX_LOGGED_INSTANCES],
+            )
+        self._usable, self._kept = usable, kept
+
     def _exclude_departed(self, up: Upstream, wall_now: float) -> None:
         """Exclude an instance that had left before a restored store listed it again."""
         if self._dispatcher.record_departure(up.id, up.incarnation):
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -79,7 +79,8 @@
     per second that it accepts from all VMs, inf if it states no limit, None if that is unknown.
     `crashed_at`: when the instance ended while it had the request, in epoch seconds; None if it
     still listens at its address or if that is unknown. `responded`: bytes of a response arrived;
-    None if the send ended before any could be expected.
+    None if the send ended before any could be expected. `connect_s`: the part of `elapsed_s` before
+    the request was written.
     """
 
     outcome: str
@@ -93,6 +94,7 @@
     crashed_at: float | None = None
     responded: bool | None = None
     elapsed_s: float = 0.0
+    connect_s: float = 0.0
 
 
 class UpstreamClient:
@@ -115,9 +117,11 @@
         if cancelled():
             return _failure(Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.NOT_RUN, 499)
         conn, kept = self._acquire(up, req)
-        started = monotonic()
+        started = connected_at = monotonic()
         try:
-            sent = self._connect(conn, kept, req) or self._exchange(conn, up, req)
+            failed = self._connect(conn, kept, req)
+            connected_at = monotonic()
+            sent = failed or self._exchange(conn, up, req)
         except BaseException:
             conn.close()
             raise
@@ -127,6 +131,7 @@
         return replace(
             sent,
             elapsed_s=elapsed_s,
+            connect_s=connected_at - started,
             crashed_at=ended_at if crashed else None,
             responded=responded,
         )
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -91,7 +91,12 @@
     @property
     def fresh(self) -> bool:
         """Return whether the last answer is so recent that no peer can have later data."""
-        return monotonic() - self._last_answer_at < MAX_STALENESS_S
+        return self.age_s < MAX_STALENESS_S
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the last answer to this task, inf if there was none."""
+        return monotonic() - self._last_answer_at
 
     def pause_s(self) -> float:
         """Return the pause before the next call: the jittered backoff, or the minimum interval."""
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -2,7 +2,7 @@
 
 import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future, InvalidStateError
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import suppress
@@ -71,7 +71,9 @@
         client: UpstreamClient,
         names: HeaderNames,
         metrics: Metrics,
+        list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._list_age_s = list_age_s
         self._snapshots = snapshots
         self._dispatch = dispatch
         self._client = client
@@ -194,6 +196,7 @@
         self, placed: Placed, req: Request, rule: Rule, attempt: int, ticket: int
     ) -> SendResult:
         up = placed.upstream
+        version, list_age_s = self._snapshots.upstreams.version, self._list_age_s()
         sent = SendResult(Outcome.CANCELLED)
         try:
             sent = self._client.send(up, req)
@@ -226,11 +229,14 @@
             home=placed.home,
             load=placed.load,
             load_age_s=placed.load_age_s,
+            list=str(version),
+            list_age_s=round(list_age_s, 3),
             waited_s=round(placed.waited_s, 3),
             outcome=sent.outcome,
             status=sent.answer.status if sent.answer else 0,
             error=sent.error.message if sent.error else "",
             took_s=round(sent.elapsed_s, 3),
+            connect_s=round(sent.connect_s, 3),
             closing=sent.closing,
             leaving=sent.leaving,
             rate_limit=sent.rate_limit,
--- a/gypsumwind/gossip.py
+++ b/gypsumwind/gossip.py
@@ -150,6 +150,9 @@
             wanted[scope] = [key for key in msg.ask(self._records, older) if key not in fresh]
         if newer_here or any(wanted.values()):
             received = self._peers.exchange(to, newer_here, wanted)
+            if received:
+                versions_by_key = {record.key: str(record.full_version) for record in received}
+                log.info("records-received", peer=to.ip, records=versions_by_key)
             msg.ask(self._records, msg.PutRecords(tuple(received)))
 
     def _publish_vm(self) -> None:
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -2,8 +2,10 @@
 
 import random
 from concurrent.futures import Future
+from dataclasses import replace
 from types import SimpleNamespace
 
+import logbook
 import pykka
 import pytest
 
@@ -23,10 +25,15 @@
 
 
 @pytest.fixture
-def actor():
+def snapshots():
     me = Member("vm-1", "a1", Endpoint("127.0.0.1", 1, 2, 3), 1, State.ALIVE)
     snapshots = Snapshots(me)
     snapshots.upstreams = UpstreamList(Version(0, 1), {"i1": UP})
+    return snapshots
+
+
+@pytest.fixture
+def actor(snapshots):
     steering = SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
     cfg = SimpleNamespace(vm="vm-1", zone="a1")
     ref = DispatchActor.start(cfg, steering, snapshots, random.Random(1))
@@ -82,3 +89,22 @@
             msg.SendFinished(up, Outcome.CUT, None, 0.1, False, fingerprint="f", crashed_at=at)
         )
     assert place(actor, 1).result(1).reason == QUARANTINED
+
+
+@pytest.fixture
+def handler():
+    with logbook.TestHandler().applicationbound() as found:
+        yield found
+
+
+def test_log_names_the_instances_that_left_and_those_kept_for_the_grace_period(
+    handler, snapshots, actor
+):
+    snapshots.upstreams = UpstreamList(Version(0, 2), {}, wall() + 60)
+    actor.ask(msg.SyncSteering())
+    snapshots.upstreams = UpstreamList(Version(0, 3), {"i1": replace(UP, draining=True)})
+    actor.ask(msg.SyncSteering())
+    lines = [line for line in handler.formatted_records if "instances-changed" in line]
+    assert "list='1' usable=1 added=['i1'] removed=[] kept=[]" in lines[0]
+    assert "list='2' usable=1 added=[] removed=[] kept=['i1']" in lines[1]
+    assert "list='3' usable=0 added=[] removed=['i1'] kept=[]" in lines[2]
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -10,7 +10,7 @@
 from gypsumwind.core.decisions import Placed, Refused
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.rules import RequestKind, Rule, WeightedService, ruleset
-from gypsumwind.core.upstreams import Upstream
+from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.exchanges import SendResult
@@ -83,7 +83,7 @@
 
 def serve_request(kind, script, attempts, places, budget):
     rule = Rule("r", "h", "/", kind, (WeightedService("s", 1.0),), 5.0, attempts, 0.5, 1, True)
-    snapshots = SimpleNamespace(rules=ruleset(1, [rule], {}))
+    snapshots = SimpleNamespace(rules=ruleset(1, [rule], {}), upstreams=UpstreamList())
     sends = ScriptedExchanger(script)
     forwarder = Forwarder(snapshots, FakeDispatch(places, budget), sends, HEADERS, None)
     ex = SimpleNamespace(
