--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,6 +16,9 @@
 PAGE_SIZE = 3
 """Objects per page of a list; small, so that every test reads several pages."""
 
+LOST_S = 60.0
+"""Time, in seconds, for which a call that never gets an answer keeps its connection open."""
+
 REPLAYED_KINDS = ("config", "servers", "evacuations")
 """Kinds whose objects are written by operators and instances, not by gypsumwind itself."""
 
@@ -206,7 +209,11 @@
                 self.remove(kind, name)
 
     def set_mode(self, mode):
-        """Set the mode: ok, busy (503), throttled (429), silent (no response) or reset."""
+        """Set the mode: ok, busy (503), throttled (429), silent (no response) or reset.
+
+        Silent calls end when the mode changes. Those of mode `lost` never get an answer, nor do the
+        watches that wait when it begins, while their connections stay open.
+        """
         with self.changed:
             self.mode = mode
             self.changed.notify_all()
@@ -281,6 +288,12 @@
 
     def _available(self, store):
         time.sleep(store.delay_s)
+        if store.mode == "lost":
+            self.connection.settimeout(LOST_S)
+            with suppress(OSError):
+                self.connection.recv(1)
+            self.close_connection = True
+            return False
         if store.mode == "silent":
             with store.changed:
                 store.changed.wait_for(lambda: store.mode != "silent", timeout=30)
