--- a/gypsumwind/eras.py
+++ b/gypsumwind/eras.py
@@ -81,17 +81,18 @@
         return era
 
     @contextmanager
-    def watching(self, era: int) -> Iterator[None]:
+    def watching(self, era: int) -> Iterator[CancelScope]:
         """Guard a watch from a revision of an era; STORE_HISTORY_GONE once that era is superseded.
 
-        As revisions are assigned again, the watch would miss changes below its own revision.
+        Yields the scope by which the watch can be ended. As revisions are assigned again, the watch
+        would miss changes below its own revision.
         """
         scope = CancelScope()
         self._watches[scope] = era
         try:
             self._raise_if_superseded(era)
             with in_scope(scope):
-                yield
+                yield scope
         except StoreError as exc:
             self._raise_if_superseded(era, exc)
             raise
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -19,8 +19,9 @@
 """Longest wait of one call for changes (long poll), in seconds."""
 
 MIN_BACKOFF_S = 0.3
-MAX_BACKOFF_S = 2.0
-"""First and longest backoff after a failed call, in seconds; doubled in between."""
+MAX_BACKOFF_S = 0.8
+"""First and longest backoff after a failed call, in seconds; doubled in between. An unanswered call
+and the jittered backoff after it pass within the time that a VM has to be up to date again."""
 
 MAX_STALENESS_S = 2.0
 """Time after the last answer for which a feed counts as fresh: while nothing changes no VM has
@@ -143,7 +144,7 @@
 
     def _handle_error(self, exc: StoreError) -> None:
         if exc.code is Code.STORE_HISTORY_GONE:
-            log.info("history-gone", feed=self.name, version=str(self._version))
+            log.info("history-gone", feed=self.name, version=str(self._version), error=exc.message)
             self._version = None
             return
         if not self._store_unavailable:
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -27,6 +27,10 @@
 SOURCE_BACKOFF_S = 3.0
 """Time for which a source is not polled again after it failed or was too stale."""
 
+RECOVERY_LONG_POLL_S = 0.05
+"""Longest wait of a call for changes after one that failed: its answer shows at once that the store
+is back."""
+
 LARGE_ZONE_LONG_POLL_S = 0.5
 """Longest wait of a delegate's call to the store in a zone with relays: half a second passes
 before the next call, so the delegate's staleness stays under a second."""
@@ -183,9 +187,13 @@
                 self._long_poll_s = INITIAL_LONG_POLL_S
             else:
                 found = self._store_feed.changes(after, min(wait_s, self._long_poll_s))
-                self._long_poll_s = min(MAX_LONG_POLL_S, 2 * self._long_poll_s)
+                self._long_poll_s = min(
+                    MAX_LONG_POLL_S, max(INITIAL_LONG_POLL_S, 2 * self._long_poll_s)
+                )
         except StoreError as exc:
-            self._store_unavailable |= exc.code is not Code.STORE_HISTORY_GONE
+            if exc.code is not Code.STORE_HISTORY_GONE:
+                self._store_unavailable = True
+                self._long_poll_s = RECOVERY_LONG_POLL_S
             raise
         if self._store_unavailable:
             self._store_unavailable = False
@@ -195,8 +203,12 @@
         return changes
 
     def _store_long_poll_s(self, role: Role) -> float:
-        """Return the longest wait of a call to the store, shorter if VMs depend on its answers."""
-        if not self._high_rate or not role.followed:
+        """Return the longest wait of a call to the store.
+
+        The answers for a high-rate feed show that the store is reachable, to this VM for all of its
+        feeds, and to its followers.
+        """
+        if not self._high_rate:
             return MAX_LONG_POLL_S
         return LARGE_ZONE_LONG_POLL_S if role.has_relays else FOLLOW_LONG_POLL_S
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -117,7 +117,7 @@
 
     def __init__(self, fleet, name, initial_incarnation=1):
         self.store_feed = StoreFeed(fleet.store)
-        self.hub = RelayHub(initial_incarnation, CODECS, frozenset("t"))
+        self.hub = RelayHub(initial_incarnation, CODECS, fleet.high_rate)
         self._list, self.versions = GracePeriodList(), []
         me = Member(name, "a1", ENDPOINTS[name], initial_incarnation, State.ALIVE)
         snapshots = Snapshots(me)
@@ -142,8 +142,9 @@
 class FakeFleet:
     """A zone of VMs, two of them delegates, that reach each other unless `unreachable`."""
 
-    def __init__(self, names=VMS):
+    def __init__(self, names=VMS, high_rate=frozenset("t")):
         self.names = names
+        self.high_rate = high_rate
         self.store = Store()
         self.unreachable = set()
         self.calls_by_vm = Counter()
@@ -310,9 +311,16 @@
     assert update.age_s > RELAY_MAX_STALENESS_S and update.values == {"a": [1]}
 
 
-def test_first_long_polls_are_short_so_that_vms_starting_together_find_each_other(clock):
+@pytest.mark.parametrize(
+    ("high_rate", "long_polls"),
+    [((), [1.0, 2.0, 4.0, feeds.MAX_LONG_POLL_S]), (("t",), [1.0, 1.0, 1.0, 1.0])],
+    ids=["rare", "high-rate"],
+)
+def test_first_long_polls_are_short_so_that_vms_starting_together_find_each_other(
+    clock, high_rate, long_polls
+):
     """No VM has found another yet, so each follows the store, also for feeds that change rarely."""
-    fleet = FakeFleet()
+    fleet = FakeFleet(high_rate=frozenset(high_rate))
     vm = fleet.vms[fleet.follower]
     original_role, vm.zone.role = vm.zone.role, lambda: Role(
         {}, is_relay=False, has_relays=False, followed=False
@@ -321,7 +329,7 @@
     for _ in range(8):
         vm.task.step()
         waits.append(fleet.store.waited_s)
-    assert waits[1:4] == [1.0, 2.0, 4.0] and waits[-1] == feeds.MAX_LONG_POLL_S
+    assert [*waits[1:4], waits[-1]] == long_polls
     vm.zone.role = original_role
     fleet.step(*fleet.delegates, fleet.follower)
     assert fleet.calls_by_vm
