--- a/gypsumwind/outages.py
+++ b/gypsumwind/outages.py
@@ -14,6 +14,16 @@
 from gypsumwind.utils import monotonic
 
 
+class GuardedCall:
+    """A call that began at a time; `refused` if the store answered that it is unavailable."""
+
+    __slots__ = ("began", "refused")
+
+    def __init__(self, began: float) -> None:
+        self.began = began
+        self.refused = False
+
+
 class OutageGuard:
     """Ends the watches that began before or during an outage, once the outage is over."""
 
@@ -22,18 +32,20 @@
         self._watches: dict[CancelScope, float] = {}
 
     @contextmanager
-    def calling(self) -> Iterator[None]:
+    def calling(self) -> Iterator[GuardedCall]:
         """Guard a call: a failure begins an outage, the answer to a call made later ends it."""
-        began = monotonic()
+        call = GuardedCall(monotonic())
         try:
-            yield
-        except StoreError as exc:
-            if exc.code is Code.STORE_UNAVAILABLE and not cancelled():
+            yield call
+        except StoreError:
+            if not cancelled():
                 self._failed_at = monotonic()
             raise
-        if began > self._failed_at > -math.inf:
+        if call.refused:
+            self._failed_at = monotonic()
+        elif call.began > self._failed_at > -math.inf:
             self._failed_at = -math.inf
-            self._end_watches(began)
+            self._end_watches(call.began)
 
     @contextmanager
     def watching(self, scope: CancelScope) -> Iterator[None]:
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -13,7 +13,6 @@
 from gypsumwind.feeds import Changes
 from gypsumwind.hangups import DeadlineTask
 from gypsumwind.log import Log
-from gypsumwind.outages import OutageGuard
 from gypsumwind.platform.headers import STORE_ERA
 from gypsumwind.stores import StoreClient
 from gypsumwind.utils import wall
@@ -53,7 +52,6 @@
     ) -> None:
         self._client = StoreClient(url, timeout_s, ip, KEEPALIVE_OPTIONS, deadlines)
         self._era_guard = EraGuard(eras or EraTracker(), STORE_ERA)
-        self._outage_guard = OutageGuard()
 
     def read_all(self, kind: str) -> tuple[list[StoredObject], Version]:
         """Read the objects of a kind page by page; return them and the version of the list."""
@@ -85,7 +83,7 @@
         wait_s = min(wait_s, MAX_WATCH_WAIT_S)
         query = {"watch": after.revision, "waitMs": int(wait_s * 1000)}
         guard = self._era_guard.watching(after.era)
-        with guard as scope, self._outage_guard.watching(scope):
+        with guard as scope, self._client.outages.watching(scope):
             doc, _ = self._read(kind, query, wait_s + WATCH_MARGIN_S)
         try:
             events = [(_parse_object(e["object"]), bool(e["removed"])) for e in doc["events"]]
@@ -118,13 +116,12 @@
     ) -> tuple[dict[str, Any], int]:
         """Return the document and the era of an answer."""
         text = f"?{urlencode(query)}" if query else ""
-        with self._outage_guard.calling():
-            reply = self._client.read(f"/objects/{quote(kind)}{text}", timeout_s)
-            era = self._era_guard.require_current(reply.headers)
-            if reply.status == 410:
-                raise StoreError(Code.STORE_HISTORY_GONE, f"read {kind}: history is gone")
-            if reply.status != 200 or not isinstance(reply.doc, dict):
-                raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: status {reply.status}")
+        reply = self._client.read(f"/objects/{quote(kind)}{text}", timeout_s)
+        era = self._era_guard.require_current(reply.headers)
+        if reply.status == 410:
+            raise StoreError(Code.STORE_HISTORY_GONE, f"read {kind}: the requested history is gone")
+        if reply.status != 200 or not isinstance(reply.doc, dict):
+            raise StoreError(Code.STORE_UNAVAILABLE, f"read {kind}: status {reply.status}")
         return reply.doc, era
 
 
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -12,7 +12,8 @@
 from urllib3.util import Timeout
 
 from gypsumwind.errors import Code, StoreError
-from gypsumwind.hangups import DeadlineTask, TrackedPool
+from gypsumwind.hangups import CancelScope, DeadlineTask, TrackedPool, in_scope
+from gypsumwind.outages import OutageGuard
 from gypsumwind.utils import monotonic
 
 WATCH_MARGIN_S = 2.0
@@ -78,7 +79,10 @@
         ...
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
-        """Long-poll for changes after a revision; return the changed objects, possibly none."""
+        """Long-poll for changes after a revision; return the changed objects, possibly none.
+
+        StoreError: STORE_HISTORY_GONE if an outage may have lost its answer.
+        """
         ...
 
     def vms(self) -> list[PlatformVm]:
@@ -97,7 +101,10 @@
 
 
 class StoreClient:
-    """HTTP client of a store, with the errors that are common to all its calls."""
+    """HTTP client of a store, with the errors that are common to all its calls.
+
+    `outages` ends the watches whose answers an outage may have lost.
+    """
 
     def __init__(
         self,
@@ -107,6 +114,7 @@
         socket_options: SocketOptions | None = None,
         deadlines: DeadlineTask | None = None,
     ) -> None:
+        self.outages = OutageGuard()
         self._deadlines = deadlines
         self._url = url
         self._timeout_s = timeout_s
@@ -127,11 +135,13 @@
 
         StoreError: STORE_UNAVAILABLE if there was no response, or its body is not JSON.
         """
-        try:
-            reply = self._call("GET", path, timeout_s)
-            doc = json.loads(reply.data) if reply.status in (200, 404) else None
-        except (HTTPError, ValueError) as exc:
-            raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
+        with self.outages.calling() as call:
+            try:
+                reply = self._call("GET", path, timeout_s)
+                doc = json.loads(reply.data) if reply.status in (200, 404) else None
+            except (HTTPError, ValueError) as exc:
+                raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
+            call.refused = reply.status in (429, 503)
         return replace(reply, doc=doc)
 
     def write(
@@ -220,7 +230,9 @@
     def watch(self, prefix: str, after: int, wait_s: float) -> Listing:
         """Long-poll for changes after a revision."""
         query = f"prefix={quote(prefix)}&after={after}&wait={wait_s:g}"
-        _, doc = self._read(f"/v1/watch?{query}", wait_s + WATCH_MARGIN_S)
+        scope = CancelScope()
+        with in_scope(scope), self._client.outages.watching(scope):
+            _, doc = self._read(f"/v1/watch?{query}", wait_s + WATCH_MARGIN_S)
         return _parse_listing(doc)
 
     def vms(self) -> list[PlatformVm]:
--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -14,7 +14,7 @@
     table_from_json,
     table_to_json,
 )
-from gypsumwind.errors import StoreError, TableError
+from gypsumwind.errors import Code, StoreError, TableError
 from gypsumwind.gossip import is_delegate
 from gypsumwind.log import Log
 from gypsumwind.payloads import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY, decode_table
@@ -89,6 +89,10 @@
                 log.info("store-answers-again")
             self._retry_s = 0.0
         except StoreError as exc:
+            if exc.code is Code.STORE_HISTORY_GONE:
+                log.info("history-gone", feed=self.name, error=exc.message)
+                self._revision = None
+                return
             if not self._retry_s:
                 log.warning("store-fails", error=exc.message)
             self._retry_s = min(MAX_RETRY_S, self._retry_s * 2 or RETRY_S)
--- a/tests/integration/test_table.py
+++ b/tests/integration/test_table.py
@@ -10,6 +10,9 @@
 from gypsumwind.utils import new_id
 from tests.standins.fleet import Fleet, Service, wait_until
 
+LOST_FOR_S = 4.0
+"""Time, in seconds, for which the store loses all answers: longer than a call takes to fail."""
+
 ZONES = {"accra-a": ("accra", 3), "accra-b": ("accra", 1), "kumasi-a": ("kumasi", 1)}
 
 
@@ -129,6 +132,14 @@
     wait_until(lambda: in_force(fleet, result.generation), 20)
 
 
+def test_edit_applies_after_the_store_lost_answers(fleet):
+    fleet.store.set_mode("lost")
+    time.sleep(LOST_FOR_S)
+    fleet.store.set_mode("ok")
+    result = edit(fleet, "limit", 100, 7)
+    wait_until(lambda: in_force(fleet, result.generation), 10)
+
+
 def test_daemon_started_during_a_store_outage_gets_the_table_from_peers(fleet):
     vm = fleet.vms["accra-a-1"]
     result = edit(fleet, "limit", 100, 7)
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -10,6 +10,7 @@
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import FeedTask
 from gypsumwind.followers import RelayedFeed, ZoneView
+from gypsumwind.outages import OutageGuard
 from gypsumwind.platform.store import KindFeed, PlatformStore
 from gypsumwind.relays import Codec, RelayHub
 from gypsumwind.snapshots import Snapshots
@@ -36,6 +37,7 @@
 
     def __init__(self, changes, mutes, hangs):
         self.now = 0.0
+        self.outages = OutageGuard()
         self._changes = changes
         self._mutes = mutes
         self._hangs = hangs
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -13,6 +13,7 @@
 from gypsumwind.core.versions import Version
 from gypsumwind.eras import EraTracker
 from gypsumwind.errors import SettingsError, StoreError
+from gypsumwind.outages import OutageGuard
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
 from gypsumwind.platform.headers import read_load
 from gypsumwind.platform.settings import read_platform_settings
@@ -93,6 +94,7 @@
 
     def __init__(self, doc, headers=()):
         self.doc, self.headers = doc, headers
+        self.outages = OutageGuard()
 
     def read(self, path, timeout_s=None):
         return StoreResponse(200, HTTPHeaderDict(self.headers), b"", self.doc)
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -6,6 +6,9 @@
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+LOST_S = 60.0
+"""Time, in seconds, for which a call that never gets an answer keeps its connection open."""
+
 
 class QuietHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -15,6 +18,13 @@
     def log_message(self, *args):
         """Suppress the access log."""
 
+    def lose_answer(self):
+        """Never answer, but keep the connection open until the client closes it."""
+        self.connection.settimeout(LOST_S)
+        with suppress(OSError):
+            self.connection.recv(1)
+        self.close_connection = True
+
     def reply(self, status, data=b"", headers=()):
         self.send_response(status)
         for name, value in headers:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,9 +16,6 @@
 PAGE_SIZE = 3
 """Objects per page of a list; small, so that every test reads several pages."""
 
-LOST_S = 60.0
-"""Time, in seconds, for which a call that never gets an answer keeps its connection open."""
-
 REPLAYED_KINDS = ("config", "servers", "evacuations")
 """Kinds whose objects are written by operators and instances, not by gypsumwind itself."""
 
@@ -289,10 +286,7 @@
     def _available(self, store):
         time.sleep(store.delay_s)
         if store.mode == "lost":
-            self.connection.settimeout(LOST_S)
-            with suppress(OSError):
-                self.connection.recv(1)
-            self.close_connection = True
+            self.lose_answer()
             return False
         if store.mode == "silent":
             with store.changed:
