--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -80,7 +80,8 @@
     `crashed_at`: when the instance ended while it had the request, in epoch seconds; None if it
     still listens at its address or if that is unknown. `responded`: bytes of a response arrived;
     None if the send ended before any could be expected. `connect_s`: the part of `elapsed_s` before
-    the request was written.
+    the request was written. `connected`: a new connection was opened and used, False if it was
+    refused or ended without a byte of a response, None if an open one was used or that is unknown.
     """
 
     outcome: str
@@ -95,6 +96,7 @@
     responded: bool | None = None
     elapsed_s: float = 0.0
     connect_s: float = 0.0
+    connected: bool | None = None
 
 
 class UpstreamClient:
@@ -134,6 +136,7 @@
             connect_s=connected_at - started,
             crashed_at=ended_at if crashed else None,
             responded=responded,
+            connected=None if kept else _has_connected(sent, responded),
         )
 
     def _acquire(self, up: Upstream, req: Request) -> tuple[TrackedConnection, bool]:
@@ -350,6 +353,15 @@
     return conn.received > 0
 
 
+def _has_connected(sent: SendResult, responded: bool | None) -> bool | None:
+    """Return whether a send opened a connection on which the instance serves; None if unknown."""
+    if responded is not False:
+        return responded
+    if sent.outcome in (Outcome.UNREACHABLE, Outcome.CUT):
+        return False
+    return None
+
+
 def _broken_exchange(conn: TrackedConnection, exc: Exception) -> SendResult:
     """Close the connection and return the result of a send without a whole response."""
     conn.close()
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -237,6 +237,7 @@
             error=sent.error.message if sent.error else "",
             took_s=round(sent.elapsed_s, 3),
             connect_s=round(sent.connect_s, 3),
+            connected=sent.connected,
             closing=sent.closing,
             leaving=sent.leaving,
             rate_limit=sent.rate_limit,
