--- a/tests/integration/test_isolation.py
+++ b/tests/integration/test_isolation.py
@@ -66,8 +66,8 @@
 
 @pytest.mark.parametrize(
     ("how", "count"),
-    [("reset", 1), ("hang", 1), ("refuse-new", 1), ("hang", 2)],
-    ids=["reset", "hang", "refuse-new", "hang-of-a-zone"],
+    [("reset", 1), ("hang", 1), ("refuse-new", 1), ("hang", 2), ("refuse-new", 2)],
+    ids=["reset", "hang", "refuse-new", "hang-of-a-zone", "refuse-new-of-a-zone"],
 )
 def test_callers_of_vms_that_reach_no_instance_are_served_by_others(fleet, how, count):
     fleet.set_instances(service_time_s=0.05)
