--- a/gypsumwind/connections.py
+++ b/gypsumwind/connections.py
@@ -99,6 +99,10 @@
             idle.conn.close()
         return self._new(ip, port), False
 
+    def has_idle(self, ip: str, port: int) -> bool:
+        """Return whether an open connection to an instance is free."""
+        return (ip, port) in self._idle
+
     def release(self, conn: TrackedConnection, keep_alive_s: float | None) -> None:
         """Return a connection to the pool after its last response was read to the end."""
         idle = _Idle(
--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -135,6 +135,10 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.objectives: Mapping[str, float] = {}
         self.closed_zones: frozenset[str] = frozenset()
+        self.usable: Callable[[Upstream], bool] | None = None
+        """The instances that this VM can reach, None for all. Requests for an object go to any of
+        them if no home is among them, and a failure to reach an instance does not count against it.
+        """
         self._listed = GracePeriodList()
         self._departures = Departures()
         self._rate_limits = RateLimits(rng)
@@ -199,7 +203,7 @@
             inst.marked_draining = up.draining
             inst.departing = self._departures.has_departed(up)
             if up.cold_until > epoch:
-                inst.cold_until = max(inst.cold_until, now + up.cold_until - epoch)
+                inst.mark_cold(now + up.cold_until - epoch, listed=True)
             inst.rate_limit = self._rate_limits.per_s(up)
             instances[up.id] = inst
         oldest = now - REMOVED_RETENTION_S
@@ -223,7 +227,7 @@
         """Set the zones that get no requests; instances of reopened zones are treated as cold."""
         for inst in self._instances.values():
             if inst.upstream.zone in self.closed_zones - zones:
-                self._mark_cold(inst, now)
+                self._mark_cold(inst, now, listed=True)
         self.closed_zones = zones
         self._clear_rankings()
 
@@ -251,6 +255,8 @@
         inst.own_in_flight = max(0, inst.own_in_flight - 1)
         if report is not None:
             inst.update_load(report, now)
+        if self.usable is not None and outcome in (Outcome.UNREACHABLE, Outcome.CUT):
+            return
         state = self._service(upstream.service)
         if outcome == Outcome.LATE and seconds >= SLOW_FACTOR * state.service_time_s:
             outcome = Outcome.SLOW
@@ -259,7 +265,7 @@
         if outcome == Outcome.MISDIRECTED:
             self._clear_rankings()
         if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
-            self._mark_cold(inst, now)
+            self._mark_cold(inst, now, listed=False)
         if outcome == Outcome.OK:
             state.record_service_time(seconds)
 
@@ -269,10 +275,10 @@
         if inst is not None and inst.upstream.incarnation == upstream.incarnation:
             inst.eject_until(now + CLOSE_EJECT_S)
 
-    def clear_ejections(self) -> None:
+    def forget_failures(self) -> None:
         """Forget the failures of all instances: this VM was partitioned from them."""
         for inst in self._instances.values():
-            inst.clear_ejection()
+            inst.forget_failures()
 
     def record_departure(self, name: str, incarnation: int) -> bool:
         """Record an instance's announcement of its shutdown to any VM; return whether it is new."""
@@ -378,6 +384,10 @@
         """Remove the requests with these fingerprints from the queue and return them."""
         return self._remove_queued(lambda request: request.fingerprint in fingerprints)
 
+    def withdraw_all(self) -> list[PlacementRequest]:
+        """Remove all requests from the queue and return them."""
+        return self._remove_queued(lambda request: True)
+
     def _remove_queued(
         self, selected: Callable[[PlacementRequest], bool]
     ) -> list[PlacementRequest]:
@@ -492,6 +502,8 @@
             instance for instance in self._instances.values() if self._eligible(instance, request)
         ]
         instances = [inst for inst in instances if now >= inst.paused_until]
+        if self.usable is not None:
+            instances = [inst for inst in instances if self.usable(inst.upstream)]
         healthy = [inst for inst in instances if now >= inst.ejected_until]
         return [
             inst
@@ -537,10 +549,10 @@
             )
         return found
 
-    def _mark_cold(self, inst: InstanceState, now: float) -> None:
+    def _mark_cold(self, inst: InstanceState, now: float, listed: bool) -> None:
         policy = self.policies.get(inst.upstream.service)
         if policy is not None:
-            inst.cold_until = max(inst.cold_until, now + policy.cold_start_s)
+            inst.mark_cold(now + policy.cold_start_s, listed)
 
     def _choose(self, request: PlacementRequest, now: float) -> Placed | None:
         """Return the instance of least cost, only homes if there is a key; None if all are full."""
@@ -548,9 +560,10 @@
         if not instances:
             return None
         homes = self._available_homes(request, instances, now)
+        at_homes = bool(request.key) and (bool(homes) or self.usable is None)
         best, best_cost = None, math.inf
         for inst in instances:
-            if request.key:
+            if at_homes:
                 cost = self._home_cost(inst, homes.get(inst.upstream.id), request.key, now)
             else:
                 cost = (
--- a/gypsumwind/core/instances.py
+++ b/gypsumwind/core/instances.py
@@ -75,6 +75,7 @@
         "ejected_until",
         "eject_s",
         "cold_until",
+        "listed_cold_until",
         "next_cold_send_at",
         "paused_until",
         "rate_limit",
@@ -95,6 +96,7 @@
         self.ejected_until = -math.inf
         self.eject_s = EJECT_S
         self.cold_until = -math.inf
+        self.listed_cold_until = -math.inf
         self.next_cold_send_at = -math.inf
         self.paused_until = -math.inf
         self.rate_limit = math.inf
@@ -148,11 +150,18 @@
         self.eject_s = min(MAX_EJECT_S, 2 * self.eject_s)
         self.failure_rate = EJECT_THRESHOLD
 
-    def clear_ejection(self) -> None:
-        """Forget the failures of the instance."""
+    def forget_failures(self) -> None:
+        """Forget the failures of the instance, and that it may have restarted."""
         self.ejected_until = -math.inf
         self.failure_rate = 0.0
         self.eject_s = EJECT_S
+        self.cold_until = self.listed_cold_until
+
+    def mark_cold(self, until: float, listed: bool) -> None:
+        """Treat the instance as cold until a time, as `listed` or because of a failure."""
+        self.cold_until = max(self.cold_until, until)
+        if listed:
+            self.listed_cold_until = max(self.listed_cold_until, until)
 
     def eject_until(self, until: float) -> None:
         """Eject the instance at least until the given time, without counting a failure."""
--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -2,8 +2,13 @@
 
 Its connections to instances may hang or be reset, so only the lack of any response shows it: sends
 to several instances failed, or have waited for long, and all of them started after the last
-response of any instance. An isolated VM refuses requests, but for one at a time that tries whether
-instances respond again.
+response of any instance. Such a VM is silenced: it refuses requests, but for one at a time that
+tries whether instances respond again.
+
+Open connections may live on while new ones are refused. Their responses hide it, and they become
+fewer. So new connections are judged on their own: after several that failed, and none that was
+accepted, the VM checks instances of all zones. If none accepts a connection, the VM is unconnected:
+it serves what it can on the connections that are left. In both cases it is isolated.
 """
 
 import math
@@ -19,6 +24,12 @@
 """Time, in seconds, after which a send without a response counts as failed here: other instances
 respond within it, however slow this one is."""
 
+MIN_REFUSALS = 3
+"""New connections that failed in a row from which a VM suspects that all would."""
+
+RECHECK_S = 1.0
+"""Time, in seconds, for which a VM suspects nothing after a check that reached an instance."""
+
 CONFIRM_S = 0.3
 """Time, in seconds, for which the lack of responses must last: after a pause of the process, the
 responses that arrived meanwhile are read within it."""
@@ -48,40 +59,89 @@
 
 
 class IsolationDetector:
-    """Tracks the sends of this VM and their responses."""
-
-    __slots__ = ("isolated", "_waiting", "_failed", "_last_response", "_since", "_next_trial_at")
+    """Tracks the sends of this VM, their responses, and the connections opened for them."""
+
+    __slots__ = (
+        "silenced",
+        "unconnected",
+        "_waiting",
+        "_failed",
+        "_refused",
+        "_last_response",
+        "_last_connection",
+        "_since",
+        "_next_trial_at",
+        "_next_check_at",
+    )
 
     def __init__(self) -> None:
-        self.isolated = False
+        self.silenced = False
+        self.unconnected = False
         self._waiting: dict[int, tuple[str, float]] = {}
         self._failed: list[str] = []
+        self._refused: list[str] = []
         self._last_response = -math.inf
+        self._last_connection = -math.inf
         self._since: float | None = None
         self._next_trial_at = -math.inf
+        self._next_check_at = -math.inf
+
+    @property
+    def isolated(self) -> bool:
+        """Return whether other VMs should serve the callers of this one."""
+        return self.silenced or self.unconnected
+
+    def suspects(self, instances: int, now: float) -> bool:
+        """Return whether to check if any of the known instances accepts a connection."""
+        spread = len(set(self._refused)) >= min(MIN_INSTANCES, instances)
+        suspected = bool(instances) and spread and len(self._refused) >= MIN_REFUSALS
+        return suspected and not self.isolated and now >= self._next_check_at
 
     def record_send(self, ticket: int, instance: str, now: float) -> None:
         """Record the start of a send."""
         self._waiting[ticket] = (instance, now)
 
-    def record_end(self, ticket: int, responded: bool | None, now: float) -> None:
-        """Record the end of a send, and whether its instance responded; None if that is open."""
-        found = self._waiting.pop(ticket, None)
+    def record_end(
+        self, ticket: int, responded: bool | None, now: float, connected: bool | None = None
+    ) -> None:
+        """Record the end of a send: whether its instance responded, and accepted a new connection.
+
+        None if that is open, or if no new connection was needed.
+        """
+        name, sent_at = self._waiting.pop(ticket, ("", -math.inf))
         if responded:
             self.record_response(now)
-        elif responded is False and found is not None and found[1] >= self._last_response:
-            self._failed.append(found[0])
+        elif responded is False and name and sent_at >= self._last_response:
+            self._failed.append(name)
+        if connected:
+            self.record_connection(now)
+        elif connected is False and name and sent_at >= self._last_connection:
+            self._refused.append(name)
 
     def record_response(self, now: float) -> None:
-        """Record a response of an instance, which ends the isolation."""
+        """Record a response of an instance, after which the VM is not silenced."""
         self._last_response = now
         self._failed.clear()
         self._since = None
-        self.isolated = False
+        self.silenced = False
+
+    def record_connection(self, now: float) -> None:
+        """Record a new connection that an instance accepted, after which others may be opened."""
+        self._last_connection = now
+        self._refused.clear()
+        self.unconnected = False
+
+    def record_check(self, accepted: bool, now: float) -> None:
+        """Record whether any of the instances that were checked accepts a connection."""
+        if accepted:
+            self.record_connection(now)
+            self._next_check_at = now + RECHECK_S
+        elif len(self._refused) >= MIN_REFUSALS:
+            self.unconnected = True
 
     def step(self, instances: int, now: float) -> bool:
         """Update the state, given the number of known instances; return whether it has changed."""
-        if self.isolated or not instances:
+        if self.silenced or not instances:
             return False
         stalled = [
             name
@@ -94,13 +154,13 @@
             self._since = None
             return False
         self._since = now if self._since is None else self._since
-        self.isolated = now >= self._since + CONFIRM_S
+        self.silenced = now >= self._since + CONFIRM_S
         self._next_trial_at = now + TRIAL_INTERVAL_S
-        return self.isolated
+        return self.silenced
 
     def admits(self, now: float) -> bool:
-        """Return whether to serve a request: any unless isolated, else a trial now and then."""
-        if not self.isolated:
+        """Return whether to serve a request: any unless silenced, else a trial now and then."""
+        if not self.silenced:
             return True
         if now < self._next_trial_at:
             return False
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -200,6 +200,7 @@
             self._publish_departure,
             self._publish_rate_limit,
             self._publish_health,
+            self._connections.has_idle,
         )
         spread = PushTask(cfg, snapshots, rng)
         self._records = RecordsActor.start(
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -53,8 +53,10 @@
         publish_departure: Callable[[Departure], None] = lambda departure: None,
         publish_rate_limit: Callable[[RateLimit], None] = lambda limit: None,
         publish_health: Callable[[Sequence[Finding | IsolationNotice]], None] = lambda found: None,
+        has_connection: Callable[[str, int], bool] = lambda ip, port: True,
     ) -> None:
         super().__init__()
+        self._has_connection = has_connection
         self._publish_health = publish_health
         self._isolation = IsolationDetector()
         self._isolation_notice: IsolationNotice | None = None
@@ -103,6 +105,10 @@
                 self._apply_quarantines()
             case msg.InstanceResponded():
                 self._isolation.record_response(now)
+                self._isolation.record_connection(now)
+            case msg.ConnectionsChecked():
+                self._isolation.record_check(message.accepted, now)
+                self._step_isolation(now)
             case msg.SyncSteering():
                 self._sync(now)
             case msg.SetSteering():
@@ -125,12 +131,15 @@
             self._deliver(request.ticket, Refused(ISOLATED, ISOLATED_RETRY_S), now)
             return
         decision = self._dispatcher.place(request, now)
+        if self._isolation.unconnected and not isinstance(decision, Placed):
+            self._dispatcher.cancel(request.ticket)
+            decision = Refused(ISOLATED, ISOLATED_RETRY_S)
         if decision is not None:
             self._deliver(request.ticket, decision, now)
 
     def _finish_send(self, message: msg.SendFinished, now: float) -> None:
         up = message.upstream
-        self._isolation.record_end(message.ticket, message.responded, now)
+        self._isolation.record_end(message.ticket, message.responded, now, message.connected)
         if message.closing:
             self._dispatcher.record_connection_close(up, now)
         if message.leaving and self._dispatcher.record_departure(up.id, up.incarnation):
@@ -180,16 +189,30 @@
             for request in self._dispatcher.withdraw(self._quarantined):
                 self._deliver(request.ticket, self._refusal(request), now)
 
-    def _notify_isolation(self, epoch: float) -> None:
+    def _step_isolation(self, now: float) -> None:
+        """Update whether this VM is isolated; use open connections only if it can open no other."""
+        count = len(self._dispatcher.instances)
+        self._isolation.step(count, now)
+        self._snapshots.isolation_suspected = self._isolation.suspects(count, now)
+        self._dispatcher.usable = self._is_connected if self._isolation.unconnected else None
+        self._notify_isolation(wall(), now)
+
+    def _is_connected(self, up: Upstream) -> bool:
+        return self._has_connection(up.ip, up.port)
+
+    def _notify_isolation(self, epoch: float, now: float) -> None:
         """Notify the other VMs when this VM becomes isolated, while it is, and when it ends."""
         isolated, last = self._isolation.isolated, self._isolation_notice
         changed = isolated != (last is not None and last.isolated)
         if not changed and not (isolated and last and epoch >= last.at + NOTICE_INTERVAL_S):
             return
         if changed:
-            log.warning("isolation-changed", isolated=isolated)
-            if not isolated:
-                self._dispatcher.clear_ejections()
+            log.warning(
+                "isolation-changed", isolated=isolated, unconnected=self._isolation.unconnected
+            )
+            self._dispatcher.forget_failures()
+            for request in self._dispatcher.withdraw_all() if isolated else ():
+                self._deliver(request.ticket, Refused(ISOLATED, ISOLATED_RETRY_S), now)
         notice = self._isolation_notice = IsolationNotice(self._cfg.vm, isolated, epoch)
         self._publish_health([notice])
 
@@ -198,8 +221,7 @@
         return Refused(QUARANTINED, max(0.0, until - wall()))
 
     def _tick(self, now: float) -> None:
-        self._isolation.step(len(self._dispatcher.instances), now)
-        self._notify_isolation(wall())
+        self._step_isolation(now)
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
             self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -215,6 +215,7 @@
                     sent.crashed_at,
                     ticket,
                     sent.responded,
+                    sent.connected,
                 )
             )
         if sent.rate_limit is not None and sent.rate_limit < math.inf:
--- a/gypsumwind/isolations.py
+++ b/gypsumwind/isolations.py
@@ -1,28 +1,40 @@
-"""Health checks of an isolated VM, which notice that instances respond again without callers."""
+"""Health checks of a VM that is isolated, or suspects it; each uses a new connection.
+
+They show whether any instance accepts connections, and, as an isolated VM may have no callers left,
+that instances respond again.
+"""
 
 import random
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pykka
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from gypsumwind import messages as msg
 from gypsumwind.core.upstreams import Upstream
+from gypsumwind.log import Log
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
 from gypsumwind.utils import wall
 
+log = Log("isolations")
+
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 4096
 
+MAX_CHECKS = 8
+"""Instances checked at a time by a VM that suspects that none accepts connections."""
+
+Checked = tuple[Upstream, str]
+"""An instance and the path of its health check."""
 
-class IsolationTask(Task):
-    """Checks one random instance per period while this VM is isolated, over a new connection.
 
-    Look-ups leave the VM out meanwhile, so there may be no request that could serve as a trial.
-    """
+class IsolationTask(Task):
+    """Checks instances while this VM is isolated or suspects it."""
 
     def __init__(
         self, cfg: Settings, snapshots: Snapshots, dispatch: pykka.ActorRef, rng: random.Random
@@ -34,14 +46,25 @@
         self._rng = rng
 
     def step(self) -> None:
-        """Check an instance; any response of it shows that this VM is no longer isolated."""
-        if not self._snapshots.isolated(self._cfg.vm, wall()):
+        """Check one random instance if this VM is isolated, some of all zones if it suspects it."""
+        isolated = self._snapshots.isolated(self._cfg.vm, wall())
+        if not isolated and not self._snapshots.isolation_suspected:
             return
         instances = self._instances()
-        if instances and self._responds(*self._rng.choice(instances)):
-            self._dispatch.tell(msg.InstanceResponded())
+        if not instances:
+            return
+        if isolated:
+            if self._check(self._rng.choice(instances)):
+                self._dispatch.tell(msg.InstanceResponded())
+            return
+        chosen = list(self._sample(instances))
+        with ThreadPoolExecutor(len(chosen)) as pool:
+            results = list(pool.map(self._check, chosen))
+        accepted = sum(result is not False for result in results)
+        log.info("connections-checked", instances=len(chosen), accepted=accepted)
+        self._dispatch.tell(msg.ConnectionsChecked(accepted > 0))
 
-    def _instances(self) -> list[tuple[Upstream, str]]:
+    def _instances(self) -> list[Checked]:
         """Return the instances that may get a health check, with the paths for it."""
         snapshots = self._snapshots
         services = snapshots.rules.services if snapshots.rules else {}
@@ -54,7 +77,20 @@
             and services[up.service].health_path
         ]
 
-    def _responds(self, up: Upstream, path: str) -> bool:
+    def _sample(self, instances: list[Checked]) -> Iterator[Checked]:
+        """Return some instances, of as many zones as possible, this VM's own zone among them."""
+        self._rng.shuffle(instances)
+        seen: dict[str, int] = {}
+        turns: list[tuple[int, bool, int, Checked]] = []
+        for checked in instances:
+            zone = checked[0].zone
+            turns.append((seen.get(zone, 0), zone != self._cfg.zone, len(turns), checked))
+            seen[zone] = seen.get(zone, 0) + 1
+        return (checked for *_, checked in sorted(turns, key=lambda t: t[:3])[:MAX_CHECKS])
+
+    def _check(self, checked: Checked) -> bool | None:
+        """Return whether an instance responds, None if it only accepts the connection in time."""
+        up, path = checked
         with urllib3.HTTPConnectionPool(
             up.ip, up.port, source_address=(self._cfg.ip, 0), timeout=CHECK_TIMEOUT_S
         ) as pool:
@@ -62,6 +98,8 @@
                 response = pool.request("GET", path, retries=False, preload_content=False)
                 response.read(MAX_RESPONSE_BYTES)
                 response.close()
+            except ReadTimeoutError:
+                return None
             except (HTTPError, OSError, ValueError):
                 return False
             return True
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -353,7 +353,8 @@
     The instance may report that it is draining (`leaving`), request a pause (`pause_s`) and state a
     `rate_limit` in requests per second: inf if its response states none, None if that is unknown.
     `crashed_at`, in epoch seconds, if it crashed under the request, which has this `fingerprint`.
-    `ticket` is that of the placement; `responded` tells whether bytes of a response arrived.
+    `ticket` is that of the placement; `responded` tells whether bytes of a response arrived, and
+    `connected` whether a new connection was accepted, None if none was needed.
     """
 
     upstream: Upstream
@@ -368,6 +369,7 @@
     crashed_at: float | None = None
     ticket: int = 0
     responded: bool | None = None
+    connected: bool | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -375,6 +377,13 @@
     """To the dispatch actor: an instance responded to the health check of this isolated VM."""
 
 
+@dataclass(slots=True, frozen=True)
+class ConnectionsChecked:
+    """To the dispatch actor: whether any of several instances `accepted` a new connection."""
+
+    accepted: bool
+
+
 @dataclass(slots=True, frozen=True)
 class ApplyFindings:
     """To the dispatch actor: other VMs' findings on requests that crash instances."""
--- a/gypsumwind/snapshots.py
+++ b/gypsumwind/snapshots.py
@@ -118,6 +118,7 @@
         "departures",
         "rate_limits",
         "isolations",
+        "isolation_suspected",
         "steering_ready",
     )
 
@@ -143,4 +144,5 @@
         self.departures: Mapping[str, Departure] = {}
         self.rate_limits: Mapping[str, RateLimit] = {}
         self.isolations: Mapping[str, IsolationNotice] = {}
+        self.isolation_suspected = False
         self.steering_ready = threading.Event()
--- a/tests/core/test_isolation.py
+++ b/tests/core/test_isolation.py
@@ -4,7 +4,9 @@
 
 from gypsumwind.core.isolation import (
     CONFIRM_S,
+    MIN_REFUSALS,
     MIN_SENDS,
+    RECHECK_S,
     STALL_S,
     TRIAL_INTERVAL_S,
     IsolationDetector,
@@ -83,3 +85,62 @@
         detector.record_end(ticket, None, 1.1)
     assert not steps(detector, INSTANCES, 9.0)
     assert not steps(detector, 0, 10.0)
+
+
+def refuse(detector, count, now, instance=None):
+    """Record sends that fail on new connections, while others are answered on open ones."""
+    for ticket in range(count):
+        send(detector, ticket, now, instance)
+        detector.record_end(ticket, False, now + 0.01, False)
+        send(detector, 50, now)
+        detector.record_end(50, True, now + 0.01)
+
+
+def test_responses_on_open_connections_do_not_hide_that_new_ones_are_refused(detector):
+    refuse(detector, MIN_REFUSALS, 1.0)
+    assert detector.suspects(INSTANCES, 1.1) and not detector.isolated
+    detector.record_check(False, 1.2)
+    assert detector.isolated and detector.unconnected and not detector.silenced
+    send(detector, 51, 1.3)
+    detector.record_end(51, True, 1.4)
+    assert detector.unconnected and detector.admits(1.4)
+    assert not detector.suspects(INSTANCES, 1.5)
+    send(detector, 52, 1.5)
+    detector.record_end(52, True, 1.6, True)
+    assert not detector.isolated
+
+
+def test_check_that_reaches_an_instance_ends_the_suspicion(detector):
+    refuse(detector, MIN_REFUSALS, 1.0)
+    detector.record_check(True, 1.2)
+    assert not detector.suspects(INSTANCES, 1.2) and not detector.isolated
+    refuse(detector, MIN_REFUSALS, 1.3)
+    assert not detector.suspects(INSTANCES, 1.4)
+    assert detector.suspects(INSTANCES, 1.2 + RECHECK_S)
+
+
+def test_connection_that_is_accepted_ends_the_suspicion(detector):
+    refuse(detector, MIN_REFUSALS - 1, 1.0)
+    send(detector, 60, 1.1)
+    refuse(detector, 1, 1.1)
+    detector.record_end(60, True, 1.2, True)
+    refuse(detector, MIN_REFUSALS - 1, 1.3)
+    assert not detector.suspects(INSTANCES, 1.4)
+    detector.record_check(False, 1.4)
+    assert not detector.isolated
+
+
+def test_refusals_from_before_the_last_accepted_connection_are_no_evidence(detector):
+    for ticket in range(MIN_REFUSALS):
+        send(detector, ticket, 1.0)
+    send(detector, 60, 1.1)
+    detector.record_end(60, True, 1.2, True)
+    for ticket in range(MIN_REFUSALS):
+        detector.record_end(ticket, False, 1.3, False)
+    assert not detector.suspects(INSTANCES, 1.4)
+
+
+def test_refusals_of_one_instance_are_no_suspicion_unless_it_is_the_only_one(detector):
+    refuse(detector, 2 * MIN_REFUSALS, 1.0, "i-1")
+    assert not detector.suspects(INSTANCES, 1.1)
+    assert detector.suspects(1, 1.1) and not detector.suspects(0, 1.1)
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -11,8 +11,9 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.core.crashes import QUARANTINE_S, Quarantine
-from gypsumwind.core.decisions import QUARANTINED, Placed, PlacementRequest
+from gypsumwind.core.decisions import ISOLATED, QUARANTINED, Placed, PlacementRequest
 from gypsumwind.core.instances import Outcome
+from gypsumwind.core.isolation import MIN_REFUSALS
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.versions import Version
@@ -33,10 +34,22 @@
 
 
 @pytest.fixture
-def actor(snapshots):
+def connected():
+    """The ports of the instances to which a connection is open."""
+    return set()
+
+
+@pytest.fixture
+def actor(snapshots, connected):
     steering = SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
     cfg = SimpleNamespace(vm="vm-1", zone="a1")
-    ref = DispatchActor.start(cfg, steering, snapshots, random.Random(1))
+    ref = DispatchActor.start(
+        cfg,
+        steering,
+        snapshots,
+        random.Random(1),
+        has_connection=lambda ip, port: port in connected,
+    )
     ref.tell(msg.SyncSteering())
     yield ref
     pykka.ActorRegistry.stop_all()
@@ -108,3 +121,52 @@
     assert "list='1' usable=1 added=['i1'] removed=[] kept=[]" in lines[0]
     assert "list='2' usable=1 added=[] removed=[] kept=['i1']" in lines[1]
     assert "list='3' usable=0 added=[] removed=['i1'] kept=[]" in lines[2]
+
+
+def refuse_connections(actor):
+    """Let sends to two instances fail on new connections, and the check of others, too."""
+    for ticket in range(100, 100 + 2 * MIN_REFUSALS):
+        up = place(actor, ticket).result(1).upstream
+        failed = msg.SendFinished(
+            up,
+            Outcome.UNREACHABLE,
+            None,
+            0.1,
+            False,
+            ticket=ticket,
+            responded=False,
+            connected=False,
+        )
+        actor.ask(failed)
+    actor.ask(msg.Tick())
+
+
+def test_vm_that_opens_no_connection_uses_open_ones_and_refuses_other_requests_at_once(
+    snapshots, actor, connected
+):
+    other = Upstream("i2", 1, "s", "127.0.0.1", 2, "a1", 1)
+    snapshots.upstreams = UpstreamList(Version(0, 2), {"i1": UP, "i2": other})
+    actor.ask(msg.SyncSteering())
+    refuse_connections(actor)
+    assert snapshots.isolation_suspected
+    actor.ask(msg.ConnectionsChecked(False))
+    assert not snapshots.isolation_suspected
+    assert place(actor, 1).result(1).reason == ISOLATED
+    connected.add(2)
+    assert place(actor, 2).result(1).upstream is other
+    connected.clear()
+    waiting = place(actor, 3)
+    assert waiting.result(1).reason == ISOLATED
+    actor.ask(msg.InstanceResponded())
+    actor.ask(msg.Tick())
+    assert isinstance(place(actor, 4).result(1), Placed)
+
+
+def test_vm_whose_check_reaches_an_instance_goes_on(snapshots, actor):
+    other = Upstream("i2", 1, "s", "127.0.0.1", 2, "a1", 1)
+    snapshots.upstreams = UpstreamList(Version(0, 2), {"i1": UP, "i2": other})
+    actor.ask(msg.SyncSteering())
+    refuse_connections(actor)
+    actor.ask(msg.ConnectionsChecked(True))
+    assert not snapshots.isolation_suspected
+    assert isinstance(place(actor, 1).result(1), Placed)
--- /dev/null
+++ b/tests/test_isolations.py
@@ -0,0 +1,77 @@
+"""Which instances a VM checks that suspects its isolation, and what a check tells."""
+
+import random
+import socket
+from types import SimpleNamespace
+
+import pytest
+
+from gypsumwind.core.rules import ServicePolicy
+from gypsumwind.core.upstreams import Upstream, UpstreamList
+from gypsumwind.core.versions import Version
+from gypsumwind.isolations import MAX_CHECKS, IsolationTask
+from tests.standins.steered import Instance
+
+ZONES = ["a1", "a2", "b1", "b2", "c1"]
+
+
+class Dispatch(list):
+    """Collects the messages to the dispatch actor."""
+
+    tell = list.append
+
+
+def upstream(name, zone="a1", port=1, **values):
+    return Upstream(name, 1, "s", "127.0.0.1", port, zone, 4, **values)
+
+
+def make_task(upstreams, suspected=True):
+    snapshots = SimpleNamespace(
+        rules=SimpleNamespace(services={"s": ServicePolicy("s", "/health", 10, 3.0, 5.0)}),
+        upstreams=UpstreamList(Version(), {up.id: up for up in upstreams}),
+        closed_zones=SimpleNamespace(revisions={"b2": 1}),
+        isolation_suspected=suspected,
+        isolated=lambda vm, epoch: False,
+    )
+    cfg = SimpleNamespace(vm="vm-1", zone="a1", ip="127.0.0.1")
+    dispatch = Dispatch()
+    return IsolationTask(cfg, snapshots, dispatch, random.Random(1)), dispatch
+
+
+def test_instances_of_all_open_zones_are_checked_and_of_this_vm_s_zone_first():
+    upstreams = [upstream(f"{zone}-{n}", zone) for zone in ZONES for n in range(9)]
+    task, _ = make_task([*upstreams, upstream("leaving", draining=True)])
+    for _ in range(20):
+        zones = [up.zone for up, _ in task._sample(task._instances())]
+        assert len(zones) == MAX_CHECKS and zones[0] == "a1"
+        assert set(zones) == {"a1", "a2", "b1", "c1"}
+
+
+@pytest.mark.parametrize("suspected", [False, True])
+def test_nothing_is_checked_without_a_suspicion_or_an_instance(suspected):
+    upstreams = [] if suspected else [upstream("i-1")]
+    task, dispatch = make_task(upstreams, suspected)
+    task.step()
+    assert not dispatch
+
+
+def closed_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    ("how", "accepted"), [("refused", False), ("refuse-new", False), ("hang", True), ("ok", True)]
+)
+def test_one_instance_that_accepts_a_connection_shows_that_the_vm_is_not_isolated(how, accepted):
+    with Instance("i-1") as instance:
+        if how in ("refuse-new", "hang"):
+            instance.cut_from = {"127.0.0.1": how}
+        port = closed_port() if how == "refused" else int(instance.address.partition(":")[2])
+        task, dispatch = make_task(
+            [upstream("i-0", "a2", closed_port()), upstream("i-1", port=port)]
+        )
+        task.step()
+        instance.cut_from = {}
+    assert [message.accepted for message in dispatch] == [accepted]
