An odd entry in a list of the store does not hide the others (report of other operators)

Another writer's entry that is nested very deeply, has a number too large or a port out of range, or bytes that are no text, made the machines that read the list stop following it, here too: no daemon ended, but its feed failed at every try.

Causes: one document is parsed for the whole list, so RecursionError, 'Exceeds the limit (4300 digits)', UnicodeDecodeError or a control character in one value hid all; OverflowError is no ValueError; a malformed object failed its whole list; a port or an address of a registered VM was not checked; numbers that are not finite, slots without a bound and lone surrogates went on into placement and gossip; any object of the kind of the configuration was taken for the configuration.

Fix: parse_json reads such values as null, infinite or with replacement characters; objects without a name are skipped, entries are decoded with bounds, each on its own; a list page that names nothing but continues counts as unavailable, not as complete. decode_ruleset gets the object's name, so its callers in two test files pass 'main'. Lists: instances, VMs, closed zones, configuration, and the table's objects and VMs on the owned way.

--- a/gypsumwind/core/table.py
+++ b/gypsumwind/core/table.py
@@ -269,7 +269,7 @@
             instances={i["name"]: _instance_from_json(i) for i in doc["instances"]},
             history=tuple(EditRecord(**record) for record in doc.get("history", ())),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise TableError(f"table document: {type(exc).__name__}: {exc}") from exc
 
 
@@ -309,7 +309,7 @@
         }
         draining = frozenset(map(str, doc.get("draining_vms", ())))
         return Places(int(doc["generation"]), dict(doc["zones"]), links, draining)
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise TableError(f"places document: {type(exc).__name__}: {exc}") from exc
 
 
--- a/gypsumwind/core/upstreams.py
+++ b/gypsumwind/core/upstreams.py
@@ -7,10 +7,14 @@
 from gypsumwind.core.lapses import EXPIRY_GRACE_S
 from gypsumwind.core.versions import Version
 
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 86_400.0
+"""Slots, and seconds for which an instance stays cold, beyond which its entry is malformed."""
+
 
 @dataclass(slots=True, frozen=True)
 class Upstream:
-    """An instance of a service as it registered itself.
+    """An instance of a service as it registered itself; ValueError if its slots are out of range.
 
     `incarnation` distinguishes two starts under one id. `cold_until` is in epoch seconds, so that
     it is valid on other VMs.
@@ -26,6 +30,10 @@
     draining: bool = False
     cold_until: float = 0.0
 
+    def __post_init__(self) -> None:
+        if not 1 <= self.slots <= MAX_SLOTS:
+            raise ValueError(f"instance {self.id}: {self.slots} slots")
+
 
 @dataclass(slots=True, frozen=True)
 class UpstreamList:
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -74,7 +74,7 @@
 
 def _feeds(store: PlatformStore) -> Feeds:
     return Feeds(
-        rules=KindFeed(store, "config", lambda obj, _: decode_ruleset(obj.spec)),
+        rules=KindFeed(store, "config", lambda obj, _: decode_ruleset(obj.name, obj.spec)),
         upstreams=KindFeed(
             store,
             "servers",
--- a/gypsumwind/platform/decoding.py
+++ b/gypsumwind/platform/decoding.py
@@ -12,8 +12,8 @@
     WeightedService,
     ruleset,
 )
-from gypsumwind.core.upstreams import Upstream
-from gypsumwind.utils import split_address
+from gypsumwind.core.upstreams import MAX_COLD_S, Upstream
+from gypsumwind.utils import finite, is_text, split_address
 
 KIND_BY_TYPE = {
     "safe": RequestKind.IDEMPOTENT,
@@ -24,8 +24,10 @@
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_ruleset(spec: Any) -> Ruleset:
-    """Decode the `spec` of the configuration object."""
+def decode_ruleset(name: str, spec: Any) -> Ruleset:
+    """Decode the `spec` of the configuration object; others of its kind are no configuration."""
+    if name != "main":
+        raise ValueError(f"configuration {name}: not in use")
     try:
         rules = [
             _rule(listener["host"], item)
@@ -46,7 +48,7 @@
         parts = (WeightedService(str(action["service"]), 1.0),)
     else:
         parts = tuple(
-            WeightedService(str(part["service"]), float(part["weight"]))
+            WeightedService(str(part["service"]), finite(part["weight"]))
             for part in action["trafficSplit"]
         )
     if not parts or sum(part.weight for part in parts) <= 0:
@@ -57,9 +59,9 @@
         prefix=str(item["match"]["pathPrefix"]),
         kind=KIND_BY_TYPE.get(item["type"], RequestKind.NON_IDEMPOTENT),
         parts=parts,
-        timeout_s=float(action["timeoutS"]),
+        timeout_s=finite(action["timeoutS"]),
         attempts=max(1, int(action.get("attempts") or 1)),
-        objective_s=float(item.get("targetLatencyS") or action["timeoutS"]),
+        objective_s=finite(item.get("targetLatencyS") or action["timeoutS"]),
         priority=int(item.get("priority") or 0),
         sticky=bool(item.get("sticky")),
         regions=frozenset(action.get("allowedRegions") or ()),
@@ -71,8 +73,8 @@
         name=str(item["name"]),
         health_path=str(item.get("healthPath") or ""),
         max_connections=int(item.get("maxConnections") or 0),
-        cold_start_s=float(item.get("coldStartS") or 0.0),
-        cold_per_s=float(item.get("coldPerS") or 0.0),
+        cold_start_s=finite(item.get("coldStartS") or 0.0),
+        cold_per_s=finite(item.get("coldPerS") or 0.0),
     )
 
 
@@ -80,8 +82,8 @@
     return CallerLimits(
         header_bytes=int(item["maxHeaderBytes"]),
         body_bytes=int(item["maxBodyBytes"]),
-        header_s=float(item["headerTimeoutS"]),
-        idle_s=float(item["idleTimeoutS"]),
+        header_s=finite(item["headerTimeoutS"]),
+        idle_s=finite(item["idleTimeoutS"]),
     )
 
 
@@ -101,9 +103,9 @@
             raise ValueError(f"instance {name}: unknown state {state!r}")
         slots = info["capacity"]
         texts = (info["service"], info["zone"])
-        if not isinstance(slots, int) or slots < 1 or not all(isinstance(t, str) for t in texts):
+        if type(slots) is not int or not all(map(is_text, texts)):
             raise ValueError(f"instance {name}: malformed service, zone or capacity")
-        warmup_left_s = float(status.get("coldRemainingS") or 0.0)
+        warmup_left_s = finite(status.get("coldRemainingS") or 0.0, MAX_COLD_S)
         return Upstream(
             id=name,
             incarnation=_int_or_zero(spec.get("born", status.get("born", 0))),
--- a/gypsumwind/platform/store.py
+++ b/gypsumwind/platform/store.py
@@ -14,8 +14,8 @@
 from gypsumwind.hangups import DeadlineTask
 from gypsumwind.log import Log
 from gypsumwind.platform.headers import STORE_ERA
-from gypsumwind.stores import StoreClient
-from gypsumwind.utils import wall
+from gypsumwind.stores import MAX_LOGGED_CHARS, StoreClient
+from gypsumwind.utils import is_text, split_address, wall
 
 log = Log("store")
 
@@ -60,6 +60,8 @@
         for _ in range(MAX_PAGES):
             doc, era = self._read(kind, {"after": after} if after else {})
             page = _parse_objects(doc.get("items"))
+            if doc.get("hasMore") and not page:
+                raise StoreError(Code.STORE_UNAVAILABLE, f"list of {kind}: page without any name")
             found.extend(page)
             # A watch from the first page's revision returns changes made between two pages.
             first = Version(era, _parse_revision(doc)) if first is None else first
@@ -67,7 +69,7 @@
                 raise StoreError(
                     Code.STORE_HISTORY_GONE, f"list of {kind}: restored between two pages"
                 )
-            if not doc.get("hasMore") or not page:
+            if not doc.get("hasMore"):
                 return found, first
             after = page[-1].name
         raise StoreError(Code.STORE_UNAVAILABLE, f"list of {kind}: more than {MAX_PAGES} pages")
@@ -86,7 +88,8 @@
         with guard as scope, self._client.outages.watching(scope):
             doc, _ = self._read(kind, query, wait_s + WATCH_MARGIN_S)
         try:
-            events = [(_parse_object(e["object"]), bool(e["removed"])) for e in doc["events"]]
+            found = [(_parse_objects([e["object"]]), bool(e["removed"])) for e in doc["events"]]
+            events = [(obj, removed) for objs, removed in found for obj in objs]
             return events, Version(after.era, _parse_revision(doc))
         except (KeyError, TypeError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"watch of {kind}: {exc!r}") from exc
@@ -125,18 +128,7 @@
         return reply.doc, era
 
 
-def _parse_object(doc: Any) -> StoredObject:
-    try:
-        meta = doc["metadata"]
-        return StoredObject(
-            str(meta["name"]), int(meta["revision"]), doc.get("spec"), doc.get("status")
-        )
-    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as exc:
-        raise StoreError(Code.STORE_UNAVAILABLE, f"malformed object: {exc!r}") from exc
-
-
 def _parse_revision(doc: Mapping[str, Any]) -> int:
-    """Return the store revision of an answer."""
     try:
         return int(doc["at"])
     except (KeyError, TypeError, ValueError, OverflowError) as exc:
@@ -144,9 +136,18 @@
 
 
 def _parse_objects(items: Any) -> list[StoredObject]:
+    """Return the objects of a list; those without a name are skipped."""
     if not isinstance(items, list):
         raise StoreError(Code.STORE_UNAVAILABLE, "malformed list: items is not an array")
-    return [_parse_object(item) for item in items]
+    found = []
+    for item in items:
+        meta = item.get("metadata") if isinstance(item, dict) else None
+        if not isinstance(meta, dict) or not is_text(meta.get("name")):
+            log.warning("entry-malformed", feed="", name="", error="no name")
+            continue
+        revision = meta["revision"] if isinstance(meta.get("revision"), int) else 0
+        found.append(StoredObject(meta["name"], revision, item.get("spec"), item.get("status")))
+    return found
 
 
 class KindFeed:
@@ -179,8 +180,8 @@
                 continue
             try:
                 values[obj.name] = self._decode(obj, wall_now)
-            except ValueError as exc:
-                decode_errors.append((obj.name, obj.revision, str(exc)))
+            except (ValueError, ArithmeticError) as exc:
+                decode_errors.append((obj.name, obj.revision, str(exc)[:MAX_LOGGED_CHARS]))
         return Changes(values, version, decode_errors)
 
 
@@ -207,9 +208,9 @@
         endpoints = []
         for obj in found:
             try:
-                endpoint = Endpoint(str(obj.spec["ip"]), 0, 0, int(obj.spec["peer_port"]))
+                ip, port = split_address(f"{obj.spec['ip']}:{obj.spec['peer_port']}")
             except (KeyError, TypeError, ValueError):
                 log.warning("entry-malformed", feed=self.KIND, name=obj.name, error="no address")
                 continue
-            endpoints.append(endpoint)
+            endpoints.append(Endpoint(ip, 0, 0, port))
         return endpoints
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -13,8 +13,11 @@
 
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.hangups import CancelScope, DeadlineTask, TrackedPool, in_scope
+from gypsumwind.log import Log
 from gypsumwind.outages import OutageGuard
-from gypsumwind.utils import monotonic
+from gypsumwind.utils import is_text, monotonic, parse_json
+
+log = Log("stores")
 
 WATCH_MARGIN_S = 2.0
 OBJECTS_PER_PAGE = 50
@@ -22,6 +25,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout; a store accepts within some milliseconds."""
 
+MAX_LOGGED_CHARS = 200
+"""Characters of an error about another writer's entry that go into a log line."""
+
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Size limit of a response; a store sends about 1 MB in one."""
 
@@ -138,7 +144,7 @@
         with self.outages.calling() as call:
             try:
                 reply = self._call("GET", path, timeout_s)
-                doc = json.loads(reply.data) if reply.status in (200, 404) else None
+                doc = parse_json(reply.data) if reply.status in (200, 404) else None
             except (HTTPError, ValueError) as exc:
                 raise StoreError(Code.STORE_UNAVAILABLE, f"read {path}: {exc}") from exc
             call.refused = reply.status in (429, 503)
@@ -239,12 +245,20 @@
         """Return the list of VMs."""
         _, doc = self._read("/v1/vms")
         try:
-            return [
-                PlatformVm(str(v["vm"]), str(v["ip"]), str(v["zone"]), v["state"] == "leaving")
-                for v in doc["vms"]
-            ]
+            found = list(doc["vms"])
         except (KeyError, TypeError) as exc:
             raise StoreError(Code.STORE_UNAVAILABLE, f"malformed list of VMs: {exc!r}") from exc
+        vms = []
+        for item in found:
+            try:
+                texts = item["vm"], item["ip"], item["zone"]
+                leaving = item["state"] == "leaving"
+            except (KeyError, TypeError) as exc:
+                log.warning("entry-malformed", feed="vms", name="", error=repr(exc))
+                continue
+            if all(map(is_text, texts)):
+                vms.append(PlatformVm(*texts, leaving))
+        return vms
 
     def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
         reply = self._client.read(path, timeout_s)
@@ -271,15 +285,22 @@
 def _parse_object(doc: Mapping[str, Any]) -> StoredObject:
     try:
         return StoredObject(str(doc["key"]), int(doc["version"]), doc["value"])
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise StoreError(Code.STORE_UNAVAILABLE, f"object from the store: {exc!r}") from exc
 
 
 def _parse_listing(doc: Mapping[str, Any]) -> Listing:
     try:
-        objects = tuple(_parse_object(item) for item in doc["objects"])
-        return Listing(objects, int(doc["revision"]), str(doc.get("next", "")))
-    except (KeyError, TypeError, ValueError) as exc:
+        items = list(doc["objects"])
+        revision, next_key = int(doc["revision"]), str(doc.get("next", ""))
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise StoreError(
             Code.STORE_UNAVAILABLE, f"malformed listing from the store: {exc!r}"
         ) from exc
+    objects = []
+    for item in items:
+        try:
+            objects.append(_parse_object(item))
+        except StoreError as exc:
+            log.error("object-unreadable", key="", error=exc.message[:MAX_LOGGED_CHARS])
+    return Listing(tuple(objects), revision, next_key)
--- a/gypsumwind/utils.py
+++ b/gypsumwind/utils.py
@@ -1,13 +1,24 @@
-"""Shared helpers: clocks, identifiers, jitter, addresses and compressed JSON."""
+"""Shared helpers: clocks, identifiers, jitter, addresses and JSON."""
 
 import json
+import math
 import os
 import random
+import re
+import sys
 import time
 import zlib
 from typing import Any
 from urllib.parse import urlsplit
 
+MAX_JSON_DEPTH = 100
+"""Depth of nesting, in arrays and objects, below which a document is cut."""
+
+MAX_JSON_DIGITS = 18
+"""Digits of an integer that any 64-bit field holds; a longer one is read as infinite."""
+
+_JSON_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
 
 def monotonic() -> float:
     """Return seconds on a monotonic clock that includes the time a VM is suspended."""
@@ -33,9 +44,10 @@
     """Split `ip:port`; ValueError names the invalid part."""
     host, _, port = text.rpartition(":")
     parts = host.split(".")
-    if len(parts) != 4 or not all(p.isdecimal() and int(p) <= 255 for p in parts):
+    decimal = all(p.isascii() and p.isdecimal() and len(p) <= 3 for p in parts)
+    if len(parts) != 4 or not decimal or not all(int(p) <= 255 for p in parts):
         raise ValueError(f"{text!r}: {host!r} is not an IP number")
-    if not port.isdecimal() or not 0 < int(port) < 65536:
+    if not port.isascii() or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"{text!r}: {port!r} is not a port from 1 to 65535")
     return host, int(port)
 
@@ -48,6 +60,54 @@
     return split_address(parts.netloc)
 
 
+def finite(value: Any, most: float = sys.float_info.max) -> float:
+    """Return a number of at most `most`, either way, as a float; ValueError for any other value."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not abs(value) <= most:
+        raise ValueError(f"{value!r} is not a finite number of at most {most:g}")
+    return float(value)
+
+
+def is_text(value: Any) -> bool:
+    """Return whether a value is a string that can be encoded as UTF-8."""
+    return isinstance(value, str) and not any("\ud800" <= c <= "\udfff" for c in value)
+
+
+def parse_json(data: bytes) -> Any:
+    """Parse JSON that holds values of other writers; ValueError if it is malformed.
+
+    One odd value does not make the document unreadable: bytes that are no UTF-8 are replaced, what
+    is nested too deeply is read as null, and an integer with too many digits as infinite.
+    """
+    text = data.decode(errors="replace")
+    try:
+        return json.loads(text, parse_int=_parse_int, strict=False)
+    except RecursionError:
+        return json.loads(_cut_nesting(text), parse_int=_parse_int, strict=False)
+
+
+def _parse_int(text: str) -> int | float:
+    if len(text) <= MAX_JSON_DIGITS:
+        return int(text)
+    return -math.inf if text.startswith("-") else math.inf
+
+
+def _cut_nesting(text: str) -> str:
+    """Replace the arrays and objects below MAX_JSON_DEPTH by null."""
+    parts: list[str] = []
+    depth = copied = 0
+    for token in _JSON_TOKEN.finditer(text):
+        if token[0] in "[{":
+            depth += 1
+            if depth == MAX_JSON_DEPTH + 1:
+                parts += (text[copied : token.start()], "null")
+        elif token[0] in "]}":
+            depth -= 1
+            if depth == MAX_JSON_DEPTH:
+                copied = token.end()
+    return "".join((*parts, text[copied:]))
+
+
 def pack_json(doc: Any) -> bytes:
     """Encode a document as compressed JSON."""
     return zlib.compress(json.dumps(doc, separators=(",", ":")).encode())
--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -41,7 +41,7 @@
         return None
     try:
         generation = int(found.value["generation"])
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         log.error("object-unreadable", key=found.key)
         return None
     payload = pack_json(found.value)
--- a/tests/integration/test_table.py
+++ b/tests/integration/test_table.py
@@ -9,6 +9,7 @@
 from gypsumwind.editors import EditOutcome
 from gypsumwind.utils import new_id
 from tests.standins.fleet import Fleet, Service, wait_until
+from tests.standins.odd import ODD_VALUES
 
 LOST_FOR_S = 4.0
 """Time, in seconds, for which the store loses all answers: longer than a call takes to fail."""
@@ -140,6 +141,19 @@
     wait_until(lambda: in_force(fleet, result.generation), 10)
 
 
+def test_edit_applies_beside_odd_objects(fleet):
+    for name, value in ODD_VALUES.items():
+        fleet.store.put(f"config/table/odd-{name}", value, None)
+        fleet.store.put(f"config/table/odd-generation-{name}", {"generation": value}, None)
+    result = edit(fleet, "limit", 100, 7)
+    wait_until(lambda: in_force(fleet, result.generation), 10)
+    vm = fleet.vms["accra-a-1"]
+    vm.kill()
+    vm.start()
+    wait_until(lambda: in_force(fleet, result.generation, [vm]), 15)
+    assert "task-failed" not in fleet.logs() and "actor-failed" not in fleet.logs()
+
+
 def test_daemon_started_during_a_store_outage_gets_the_table_from_peers(fleet):
     vm = fleet.vms["accra-a-1"]
     result = edit(fleet, "limit", 100, 7)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,7 +9,7 @@
 
 
 def test_configuration_is_decoded_into_rules():
-    rules = decode_ruleset(CONFIG)
+    rules = decode_ruleset("main", CONFIG)
     assert rules.version == 12
     upload = rules.find("files.example", "/put/x")
     assert (upload.kind, upload.timeout_s, upload.attempts) == (RequestKind.UPLOAD, 5.0, 2)
@@ -21,21 +21,21 @@
 
 
 def test_traffic_split_has_its_weights():
-    rule = decode_ruleset(CONFIG).find("api.example", "/split/x")
+    rule = decode_ruleset("main", CONFIG).find("api.example", "/split/x")
     assert [(part.service, part.weight) for part in rule.parts] == [("lookup", 9), ("files", 1)]
 
 
 def test_request_of_an_unknown_type_is_not_retried():
     doc = copy.deepcopy(CONFIG)
     doc["listeners"][0]["routingRules"][0]["type"] = "new"
-    rules = decode_ruleset(doc)
+    rules = decode_ruleset("main", doc)
     assert not rules.find("api.example", "/read/x").kind.repeatable
 
 
 @pytest.mark.parametrize("doc", [None, {}, [], {"version": "zz"}, {**CONFIG, "listeners": [1]}])
 def test_malformed_configuration_is_rejected(doc):
     with pytest.raises(ValueError):
-        decode_ruleset(doc)
+        decode_ruleset("main", doc)
 
 
 def test_entry_is_decoded_into_an_upstream():
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -68,7 +68,7 @@
 @given(spec=corrupted(CONFIG))
 def test_decode_ruleset_of_a_corrupted_configuration(spec):
     try:
-        rules = decode_ruleset(spec)
+        rules = decode_ruleset("main", spec)
     except ValueError:
         return
     assert ruleset_from_json(ruleset_to_json(rules)) == rules
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -1,5 +1,6 @@
 """Threaded HTTP server on which the stand-ins are built."""
 
+import json
 import socket
 import threading
 import time
@@ -10,6 +11,28 @@
 """Time, in seconds, for which a call that never gets an answer keeps its connection open."""
 
 
+class RawJson(str):
+    """JSON text that stands for a value in a document, for what json.dumps cannot write."""
+
+
+def dump_json(doc):
+    """Return a document as JSON, with raw values as they are."""
+    raw = []
+
+    def walk(value):
+        if isinstance(value, RawJson):
+            raw.append(value)
+            return f"@raw-{len(raw)}@"
+        if isinstance(value, dict):
+            return {name: walk(inner) for name, inner in value.items()}
+        return [walk(inner) for inner in value] if isinstance(value, list | tuple) else value
+
+    text = json.dumps(walk(doc))
+    for n, value in enumerate(raw, 1):
+        text = text.replace(f'"@raw-{n}@"', value)
+    return text.encode(errors="surrogateescape")
+
+
 class QuietHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     wbufsize = 65536
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from tests.standins.http import QuietHandler, StandIn
+from tests.standins.http import QuietHandler, StandIn, dump_json
 
 PAGE_SIZE = 3
 """Objects per page of a list; small, so that every test reads several pages."""
@@ -304,4 +304,4 @@
             era = self.server.standin.era
             era_header = [] if era is None else [("Store-Era", str(era))]
             kind = ("Content-Type", "application/json")
-            self.reply(status, json.dumps(doc).encode(), [kind, *era_header])
+            self.reply(status, dump_json(doc), [kind, *era_header])
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from tests.standins.http import QuietHandler, StandIn
+from tests.standins.http import QuietHandler, StandIn, dump_json
 
 OBJECTS = "/v1/objects"
 
@@ -145,7 +145,7 @@
 
     def _json(self, status, doc):
         with suppress(OSError):
-            self.reply(status, json.dumps(doc).encode(), [("Content-Type", "application/json")])
+            self.reply(status, dump_json(doc), [("Content-Type", "application/json")])
 
 
 def main():
