A key whose claim has no known outcome does not run unclaimed

A request that may not be repeated could run twice: its key's claim was written, the answer was lost, reading back found nothing, and the VM took the claim for its own.

A write without an answer may be applied later, or never, so the absence of the claim tells nothing. Now the conditional create is written again, up to three times, until one is known to have succeeded or a claim is found; a late copy of an earlier write then only meets the claim of the same VM.

--- a/gypsumwind/claims.py
+++ b/gypsumwind/claims.py
@@ -14,6 +14,9 @@
 KEY_PREFIX = "keys/"
 RETRY_AFTER_S = 2.0
 
+MAX_WRITES = 3
+"""Writes of a claim until the outcome of one is known."""
+
 
 class KeyClaims:
     """Finds the home of a key without prefix: the first VM that creates its claim."""
@@ -49,20 +52,28 @@
         return KeyPrefix(value["vm"], value["incarnation"], value["expires"])
 
     def _claim(self, store_key: str, key: str, own: KeyPrefix) -> StoredObject | None:
-        """Create the claim; return None on success, else the existing claim."""
+        """Create the claim; return None on success, else the existing claim.
+
+        A write whose outcome is unknown may still be applied, or never: only a claim that is in the
+        store, or a write that is known to have succeeded, makes this VM the home of the key.
+        """
         value = {
             "key": key,
             "vm": own.vm,
             "incarnation": own.incarnation,
             "expires": own.expires,
         }
-        try:
-            self._store.put(store_key, value, None)
-        except StoreError as exc:
-            if exc.code is Code.STORE_UNAVAILABLE:
-                raise
-            return self._store.get(store_key)
-        return None
+        for _ in range(MAX_WRITES):
+            try:
+                self._store.put(store_key, value, None)
+                return None
+            except StoreError as exc:
+                if exc.code is Code.STORE_UNAVAILABLE:
+                    raise
+            found = self._store.get(store_key)
+            if found is not None:
+                return found
+        raise StoreError(Code.STORE_OUTCOME_UNKNOWN, f"no outcome of {MAX_WRITES} writes is known")
 
     def _unavailable(self, exc: StoreError) -> RequestError:
         wait = jittered(RETRY_AFTER_S, self._rng)
