--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -163,10 +163,13 @@
         self._dispatch_queued(now)
 
     def _observe_crash(self, message: msg.SendFinished) -> None:
-        """Record that an instance crashed under a request, or that it did not."""
+        """Record that an instance crashed under a request, or that it did not.
+
+        An isolated VM cannot tell: that it can open no connection has another reason.
+        """
         up, name, crashed_at = message.upstream, message.fingerprint, message.crashed_at
         epoch = wall()
-        if crashed_at is not None:
+        if crashed_at is not None and not self._isolation.isolated:
             sent_at = crashed_at - message.seconds
             report = CrashReport(name, up.id, up.incarnation, sent_at, crashed_at)
             self._crashes.record_crash(report, epoch)
