--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -13,6 +13,10 @@
     302: (12, "the same caller took a partial response of a killed VM for a complete one"),
     305: (12, "a reset discarded an error response that closed its connection"),
     310: (12, "a pipelining caller read only after its last send had failed"),
+    617: (
+        8,
+        "a VM kept a zone closed that a peer had reported in an outage, and that was open again",
+    ),
 }
 """Seconds of faults, and what the seed covers or failed on."""
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -159,6 +159,19 @@
     assert vm.instance_ids == {"b"} and vm.instances["b"].marked_draining
 
 
+def test_list_that_peers_reported_in_an_outage_is_replaced_after_it(clock):
+    """An instance is missing in between, so that the feed itself sees no change."""
+    feed = ScriptedFeed(Changes(upstreams("a", "b"), at(1)), UNAVAILABLE, Changes({}, at(5)))
+    vm = Vm("vm")
+    feed_task = FeedTask("t", feed, 0.5, vm.put, random.Random(1))
+    feed_task.step()
+    feed_task.step()
+    vm.put(upstreams("a"), at(3), 0.0)
+    assert vm.instance_ids == {"a"}
+    feed_task.step()
+    assert vm.instance_ids == {"a", "b"}
+
+
 def test_feed_is_fresh_for_a_while_after_an_answer_and_not_during_an_outage(clock):
     feed_task, _ = make_task(
         ScriptedFeed(Changes({}, at(1)), UNAVAILABLE, UNAVAILABLE, Changes({}, at(2)))
