Review: one rule of evidence for isolation, bounded; a dead field and a misleading name

IsolationDetector counted failures twice by the same condition, in lists that grew with each refused send for as long as no connection was accepted; now both are counts by instance, judged by one function. Dispatcher.usable said something else than the actor's attribute of that name: reachable, as its comment. Behaviour is as before; tests unchanged but for the field.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -135,7 +135,7 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.objectives: Mapping[str, float] = {}
         self.closed_zones: frozenset[str] = frozenset()
-        self.usable: Callable[[Upstream], bool] | None = None
+        self.reachable: Callable[[Upstream], bool] | None = None
         """The instances that this VM can reach, None for all. Requests for an object go to any of
         them if no home is among them, and a failure to reach an instance does not count against it.
         """
@@ -255,7 +255,7 @@
         inst.own_in_flight = max(0, inst.own_in_flight - 1)
         if report is not None:
             inst.update_load(report, now)
-        if self.usable is not None and outcome in (Outcome.UNREACHABLE, Outcome.CUT):
+        if self.reachable is not None and outcome in (Outcome.UNREACHABLE, Outcome.CUT):
             return
         state = self._service(upstream.service)
         if outcome == Outcome.LATE and seconds >= SLOW_FACTOR * state.service_time_s:
@@ -502,8 +502,8 @@
             instance for instance in self._instances.values() if self._eligible(instance, request)
         ]
         instances = [inst for inst in instances if now >= inst.paused_until]
-        if self.usable is not None:
-            instances = [inst for inst in instances if self.usable(inst.upstream)]
+        if self.reachable is not None:
+            instances = [inst for inst in instances if self.reachable(inst.upstream)]
         healthy = [inst for inst in instances if now >= inst.ejected_until]
         return [
             inst
@@ -560,7 +560,7 @@
         if not instances:
             return None
         homes = self._available_homes(request, instances, now)
-        at_homes = bool(request.key) and (bool(homes) or self.usable is None)
+        at_homes = bool(request.key) and (bool(homes) or self.reachable is None)
         best, best_cost = None, math.inf
         for inst in instances:
             if at_homes:
--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
 MIN_SENDS = 5
@@ -78,8 +79,8 @@
         self.silenced = False
         self.unconnected = False
         self._waiting: dict[int, tuple[str, float]] = {}
-        self._failed: list[str] = []
-        self._refused: list[str] = []
+        self._failed: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._last_response = -math.inf
         self._last_connection = -math.inf
         self._since: float | None = None
@@ -93,9 +94,9 @@
 
     def suspects(self, instances: int, now: float) -> bool:
         """Return whether to check if any of the known instances accepts a connection."""
-        spread = len(set(self._refused)) >= min(MIN_INSTANCES, instances)
-        suspected = bool(instances) and spread and len(self._refused) >= MIN_REFUSALS
-        return suspected and not self.isolated and now >= self._next_check_at
+        if self.isolated or not instances or now < self._next_check_at:
+            return False
+        return _suffices(self._refused, MIN_REFUSALS, instances)
 
     def record_send(self, ticket: int, instance: str, now: float) -> None:
         """Record the start of a send."""
@@ -112,11 +113,11 @@
         if responded:
             self.record_response(now)
         elif responded is False and name and sent_at >= self._last_response:
-            self._failed.append(name)
+            self._failed[name] += 1
         if connected:
             self.record_connection(now)
         elif connected is False and name and sent_at >= self._last_connection:
-            self._refused.append(name)
+            self._refused[name] += 1
 
     def record_response(self, now: float) -> None:
         """Record a response of an instance, after which the VM is not silenced."""
@@ -136,21 +137,19 @@
         if accepted:
             self.record_connection(now)
             self._next_check_at = now + RECHECK_S
-        elif len(self._refused) >= MIN_REFUSALS:
+        elif self._refused.total() >= MIN_REFUSALS:
             self.unconnected = True
 
     def step(self, instances: int, now: float) -> bool:
         """Update the state, given the number of known instances; return whether it has changed."""
         if self.silenced or not instances:
             return False
-        stalled = [
+        stalled = Counter(
             name
             for name, sent_at in self._waiting.values()
             if sent_at >= self._last_response and now >= sent_at + STALL_S
-        ]
-        unanswered = self._failed + stalled
-        spread = len(set(unanswered)) >= min(MIN_INSTANCES, instances)
-        if not spread or len(unanswered) < MIN_SENDS:
+        )
+        if not _suffices(self._failed + stalled, MIN_SENDS, instances):
             self._since = None
             return False
         self._since = now if self._since is None else self._since
@@ -166,3 +165,8 @@
             return False
         self._next_trial_at = now + TRIAL_INTERVAL_S
         return True
+
+
+def _suffices(failures: Counter[str], least: int, instances: int) -> bool:
+    """Return whether there are enough failures, by instance, at enough of the known instances."""
+    return failures.total() >= least and len(failures) >= min(MIN_INSTANCES, instances)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -197,7 +197,7 @@
         count = len(self._dispatcher.instances)
         self._isolation.step(count, now)
         self._snapshots.isolation_suspected = self._isolation.suspects(count, now)
-        self._dispatcher.usable = self._is_connected if self._isolation.unconnected else None
+        self._dispatcher.reachable = self._is_connected if self._isolation.unconnected else None
         self._notify_isolation(wall(), now)
 
     def _is_connected(self, up: Upstream) -> bool:
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -50,13 +50,12 @@
     """A VM's role in its zone, with the sources that it follows in order of preference.
 
     `is_relay`: the VM is between the delegates and the other VMs; `has_relays`: the zone has such
-    VMs; `followed`: the delegates have followers.
+    VMs.
     """
 
     sources: Mapping[str, Endpoint]
     is_relay: bool
     has_relays: bool
-    followed: bool
 
 
 class ZoneView:
@@ -79,7 +78,7 @@
             present[self.vm] = members.local.endpoint
         tiers = RelayTree(self._zone, present)
         sources = {vm: present[vm] for vm in tiers.sources(self.vm)}
-        return Role(sources, self.vm in tiers.relays, bool(tiers.relays), tiers.followed)
+        return Role(sources, self.vm in tiers.relays, bool(tiers.relays))
 
 
 Follow = Callable[[Endpoint, str, int, int, float], RelayUpdate]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -322,9 +322,7 @@
     """No VM has found another yet, so each follows the store, also for feeds that change rarely."""
     fleet = FakeFleet(high_rate=frozenset(high_rate))
     vm = fleet.vms[fleet.follower]
-    original_role, vm.zone.role = vm.zone.role, lambda: Role(
-        {}, is_relay=False, has_relays=False, followed=False
-    )
+    original_role, vm.zone.role = vm.zone.role, lambda: Role({}, is_relay=False, has_relays=False)
     waits = []
     for _ in range(8):
         vm.task.step()
