Review: the tests of the adapter share their store, client and odd fields

The fixtures of test_store.py and test_odd_entries.py were the same, a test module was imported by another one, and test_decoding.py had the loop of with_value.

--- a/tests/integration/test_odd_entries.py
+++ b/tests/integration/test_odd_entries.py
@@ -5,10 +5,9 @@
 import pytest
 
 from gypsumwind.platform.store import VmRegistry
-from tests.platform.test_odd_entries import ENTRY_PATHS, VM_PATHS, with_value
 from tests.standins import platform
 from tests.standins.fleet import wait_until
-from tests.standins.odd import ODD_VALUES
+from tests.standins.odd import ENTRY_PATHS, ODD_VALUES, VM_PATHS, with_value
 from tests.standins.steered import DirectFleet
 
 INSTANCES = [("i-1", "lookup", "a1"), ("i-2", "lookup", "a1")]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 from gypsumwind.core.rules import RequestKind
 from gypsumwind.platform.decoding import decode_ruleset, decode_upstream
 from gypsumwind.platform.headers import read_load
+from tests.standins.odd import with_value
 from tests.standins.platform import CONFIG, server_entry
 
 
@@ -69,11 +70,7 @@
     ],
 )
 def test_malformed_entry_is_rejected(path, value):
-    obj = server_entry("127.0.0.1:9")
-    part = obj
-    for name in path[:-1]:
-        part = part[name]
-    part[path[-1]] = value
+    obj = with_value(server_entry("127.0.0.1:9"), path, value)
     with pytest.raises(ValueError, match="."):
         decode_upstream("i-1", obj, 0.0)
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -1,6 +1,5 @@
 """One odd entry in a list of the store names nothing to use; all others hold."""
 
-import copy
 import json
 import random
 
@@ -13,50 +12,16 @@
 from gypsumwind.core.rules import ruleset_from_json, ruleset_to_json
 from gypsumwind.core.upstreams import UpstreamList, upstreams_from_json, upstreams_to_json
 from gypsumwind.platform.__main__ import _feeds
-from gypsumwind.platform.store import PlatformStore, VmRegistry
+from gypsumwind.platform.store import VmRegistry
 from gypsumwind.utils import pack_json, unpack_json
 from tests.standins import platform
 from tests.standins.http import RawJson
-from tests.standins.odd import ODD_VALUES
+from tests.standins.odd import ENTRY_PATHS, ODD_VALUES, VM_PATHS, with_value
 
 ENTRY = platform.server_entry("127.0.0.1:7")
-ENTRY_PATHS = [
-    ("spec",),
-    ("status",),
-    ("spec", "address"),
-    ("spec", "born"),
-    ("spec", "info"),
-    ("spec", "info", "service"),
-    ("spec", "info", "zone"),
-    ("spec", "info", "capacity"),
-    ("spec", "unknown"),
-    ("status", "state"),
-    ("status", "coldRemainingS"),
-]
-VM_PATHS = [("ip",), ("peer_port",), ("unknown",)]
 PORT = 1000
 
 
-@pytest.fixture
-def served():
-    with platform.PlatformStore() as store:
-        yield store
-
-
-@pytest.fixture
-def store(served):
-    return PlatformStore(served.url, 0.5, "127.0.0.1")
-
-
-def with_value(doc, path, value):
-    changed = copy.deepcopy(doc)
-    part = changed
-    for name in path[:-1]:
-        part = part[name]
-    part[path[-1]] = value
-    return changed
-
-
 def register_around(served, kind, odd):
     """Write odd objects, given as (spec, status), between and after good ones."""
     good = platform.server_entry(f"127.0.0.1:{PORT}")
@@ -75,10 +40,10 @@
 
 
 @pytest.mark.parametrize("name", ODD_VALUES)
-def test_instances_beside_an_odd_entry_are_used(served, store, name):
+def test_instances_beside_an_odd_entry_are_used(served, client, name):
     odd = [with_value(ENTRY, path, ODD_VALUES[name]) for path in ENTRY_PATHS]
     register_around(served, "servers", [(entry["spec"], entry["status"]) for entry in odd])
-    for values in follow(_feeds(store).upstreams, served, "servers"):
+    for values in follow(_feeds(client).upstreams, served, "servers"):
         ups = {n: up for n, up in values.items() if up is not None}
         assert {"a", "n"} <= set(ups)
         assert use(ups) <= set(ups)
@@ -105,8 +70,8 @@
 
 
 @pytest.mark.parametrize("name", ODD_VALUES)
-def test_vms_beside_an_odd_registration_are_found(served, store, name):
-    registry = VmRegistry(store)
+def test_vms_beside_an_odd_registration_are_found(served, client, name):
+    registry = VmRegistry(client)
     good = Endpoint("127.0.0.2", 1, 2, 3)
     registry.announce("a", good)
     spec = {"ip": "127.0.0.3", "peer_port": PORT}
@@ -120,11 +85,11 @@
 
 
 @pytest.mark.parametrize("name", ODD_VALUES)
-def test_zones_beside_an_odd_closure_are_closed(served, store, name):
+def test_zones_beside_an_odd_closure_are_closed(served, client, name):
     served.put("evacuations", "a1", {})
     served.put("evacuations", "odd", ODD_VALUES[name])
     served.put("evacuations", "z9", {})
-    for values in follow(_feeds(store).closed_zones, served, "evacuations"):
+    for values in follow(_feeds(client).closed_zones, served, "evacuations"):
         assert {n for n, revision in values.items() if revision} >= {"a1", "z9"}
 
 
@@ -137,12 +102,12 @@
 
 
 @pytest.mark.parametrize("name", ODD_VALUES)
-def test_configuration_beside_an_odd_one_is_read(served, store, name):
+def test_configuration_beside_an_odd_one_is_read(served, client, name):
     paths = [path for path in config_paths(platform.CONFIG) if len(path) < 7]
     for n, path in enumerate(paths[::3]):
         served.put("config", f"m-{n}", with_value(platform.CONFIG, path, ODD_VALUES[name]))
     served.put("config", "main", platform.config(77))
-    for values in follow(_feeds(store).rules, served, "config"):
+    for values in follow(_feeds(client).rules, served, "config"):
         rules = values["main"]
         assert rules.version == 77
         for other in values.values():
@@ -153,10 +118,10 @@
 
 @pytest.mark.parametrize("name", ["nested-arrays", "number-of-5000-digits", "lone-surrogate"])
 @pytest.mark.parametrize("field", ["name", "revision", "finalizers"])
-def test_list_beside_odd_metadata_is_read(served, store, name, field):
+def test_list_beside_odd_metadata_is_read(served, client, name, field):
     register_around(served, "servers", [(ENTRY["spec"], ENTRY["status"])])
     served.objects[("servers", "m-0")]["metadata"][field] = ODD_VALUES[name]
-    found = _feeds(store).upstreams.read()
+    found = _feeds(client).upstreams.read()
     assert {"a", "n"} <= {n for n, up in found.values.items() if up is not None}
 
 
@@ -167,9 +132,9 @@
 
 
 @pytest.mark.parametrize("name", ODD_VALUES)
-def test_configuration_after_an_odd_one_is_read(served, store, name):
+def test_configuration_after_an_odd_one_is_read(served, client, name):
     """The odd one is no configuration, or one that VMs can pass on; the next one is in force."""
-    feed = _feeds(store).rules
+    feed = _feeds(client).rules
     served.put("config", "main", platform.CONFIG)
     version = feed.read().version
     for path in [path for path in config_paths(platform.CONFIG) if len(path) < 7]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,18 +8,6 @@
 from gypsumwind.eras import EraTracker
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.platform.store import KindFeed, PlatformStore, VmRegistry
-from tests.standins import platform
-
-
-@pytest.fixture
-def served():
-    with platform.PlatformStore() as store:
-        yield store
-
-
-@pytest.fixture
-def client(served):
-    return PlatformStore(served.url, 0.5, "127.0.0.1")
 
 
 def names_feed(client):
--- a/tests/standins/odd.py
+++ b/tests/standins/odd.py
@@ -3,6 +3,8 @@
 Raw text stands for bytes by the error handler `surrogateescape`.
 """
 
+import copy
+
 from tests.standins.http import RawJson
 
 ODD_VALUES = {
@@ -29,3 +31,29 @@
     "port-of-other-digits": "127.0.0.1:\u0661\u0662",
     "host-name": "localhost:80",
 }
+
+ENTRY_PATHS = [
+    ("spec",),
+    ("status",),
+    ("spec", "address"),
+    ("spec", "born"),
+    ("spec", "info"),
+    ("spec", "info", "service"),
+    ("spec", "info", "zone"),
+    ("spec", "info", "capacity"),
+    ("spec", "unknown"),
+    ("status", "state"),
+    ("status", "coldRemainingS"),
+]
+VM_PATHS = [("ip",), ("peer_port",), ("unknown",)]
+"""Paths of the fields of an instance's entry and of a VM's registration."""
+
+
+def with_value(doc, path, value):
+    """Return a copy of a document with another value at a path."""
+    changed = copy.deepcopy(doc)
+    part = changed
+    for name in path[:-1]:
+        part = part[name]
+    part[path[-1]] = value
+    return changed
