--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -92,6 +92,17 @@
         """Return whether other VMs should serve the callers of this one."""
         return self.silenced or self.unconnected
 
+    def evidence(self, now: float) -> dict[str, float]:
+        """Return the failures on which the state rests, for the logs."""
+        stalled = self._stalled(now)
+        return {
+            "failed": self._failed.total(),
+            "stalled": stalled.total(),
+            "instances": len(self._failed + stalled),
+            "refused": self._refused.total(),
+            "unanswered_s": round(now - self._last_response, 3),
+        }
+
     def suspects(self, instances: int, now: float) -> bool:
         """Return whether to check if any of the known instances accepts a connection."""
         if self.isolated or not instances or now < self._next_check_at:
@@ -144,12 +155,7 @@
         """Update the state, given the number of known instances; return whether it has changed."""
         if self.silenced or not instances:
             return False
-        stalled = Counter(
-            name
-            for name, sent_at in self._waiting.values()
-            if sent_at >= self._last_response and now >= sent_at + STALL_S
-        )
-        if not _suffices(self._failed + stalled, MIN_SENDS, instances):
+        if not _suffices(self._failed + self._stalled(now), MIN_SENDS, instances):
             self._since = None
             return False
         self._since = now if self._since is None else self._since
@@ -157,6 +163,14 @@
         self._next_trial_at = now + TRIAL_INTERVAL_S
         return self.silenced
 
+    def _stalled(self, now: float) -> Counter[str]:
+        """Return the sends that have waited for long, by instance, since the last response."""
+        return Counter(
+            name
+            for name, sent_at in self._waiting.values()
+            if sent_at >= self._last_response and now >= sent_at + STALL_S
+        )
+
     def admits(self, now: float) -> bool:
         """Return whether to serve a request: any unless silenced, else a trial now and then."""
         if not self.silenced:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -172,6 +172,7 @@
         self._client = UpstreamClient(self._connections, names, read_load, self._hangups)
         self._names = names
         self._hub = RelayHub(self._initial_incarnation, CODECS, HIGH_RATE_FEEDS, eras)
+        self._feed_tasks: dict[str, FeedTask] = {}
 
     def __enter__(self) -> "DirectDaemon":
         try:
@@ -190,7 +191,7 @@
 
     def _start(self) -> None:
         cfg, snapshots, rng = self._cfg, self.snapshots, self._rng
-        metrics = Metrics(cfg.tenants, lambda: self._eras.current)
+        metrics = Metrics(cfg.tenants, lambda: self._eras.current, self._feed_ages)
         enter = self._stack.enter_context
         self._dispatch = DispatchActor.start(
             cfg,
@@ -207,7 +208,7 @@
             snapshots, cfg.zone, cfg.region, self._dispatch, spread.put
         )
         self._start_members(enter)
-        feed_tasks = self._feed_tasks()
+        feed_tasks = self._feed_tasks = self._make_feed_tasks()
         policy = GossipPolicy(
             publishes_loads=False,
             pushes_records=False,
@@ -224,14 +225,14 @@
             self._hub,
         )
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
-        upstreams_feed = feed_tasks[UPSTREAMS_KEY]
         forwarder = Forwarder(
             snapshots,
             self._dispatch,
             self._client,
             self._names,
             metrics,
-            lambda: upstreams_feed.age_s,
+            lambda: feed_tasks[UPSTREAMS_KEY].age_s,
+            lambda: feed_tasks[RULES_KEY].age_s,
         )
         self._front = ForwardingHandler(
             cfg, snapshots, forwarder, self._hangups, metrics, self._names
@@ -281,7 +282,7 @@
         self._members = MembersActor.start(membership, sock, self.snapshots)
         enter(ProbeListener(sock, self._members))
 
-    def _feed_tasks(self) -> dict[str, FeedTask]:
+    def _make_feed_tasks(self) -> dict[str, FeedTask]:
         """Return the feed tasks by the key of the record that each updates."""
         feeds = self._feeds
         return {
@@ -296,6 +297,10 @@
             ),
         }
 
+    def _feed_ages(self) -> dict[str, float]:
+        """Return the time since the last answer to each feed, in seconds, by its name."""
+        return {task.name: task.age_s for task in self._feed_tasks.values()}
+
     def _feed_task(
         self, name: str, store_feed: Feed, min_interval_s: float, put: PublishSnapshot
     ) -> FeedTask:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -211,7 +211,10 @@
             return
         if changed:
             log.warning(
-                "isolation-changed", isolated=isolated, unconnected=self._isolation.unconnected
+                "isolation-changed",
+                isolated=isolated,
+                unconnected=self._isolation.unconnected,
+                **self._isolation.evidence(now),
             )
             self._dispatcher.forget_failures()
             for request in self._dispatcher.withdraw_all() if isolated else ():
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -36,13 +36,15 @@
     """Values by name (None: removed or malformed), their version, and the decode errors.
 
     For `grace_s` values may be missing whose lease expired while the source could not reach the
-    store.
+    store. `age_s` is the time since the store's answer on which they rest, as the source reports
+    it.
     """
 
     values: Mapping[str, Any]
     version: Version
     decode_errors: list[tuple[str, int, str]] = field(default_factory=list)
     grace_s: float = 0.0
+    age_s: float = 0.0
 
 
 class Feed(Protocol):
@@ -99,6 +101,11 @@
         """Return the time since the last answer to this task, inf if there was none."""
         return monotonic() - self._last_answer_at
 
+    @property
+    def _silent_s(self) -> float:
+        """Return `age_s` as log lines have it."""
+        return round(self.age_s, 3)
+
     def pause_s(self) -> float:
         """Return the pause before the next call: the jittered backoff, or the minimum interval."""
         return jittered(self._backoff_s, self._rng) if self._backoff_s else self._min_interval_s
@@ -126,12 +133,19 @@
         changed = is_snapshot or values != self._values
         self._version, self._values = found.version, values
         if changed:
+            log.info(
+                "list-changed",
+                feed=self.name,
+                version=str(found.version),
+                silent_s=self._silent_s,
+                age_s=round(found.age_s, 3),
+            )
             grace_s = max(0.0, self._grace_until - monotonic())
             self._publish(dict(values), found.version, grace_s)
 
     def _handle_recovery(self) -> None:
         if self._store_unavailable:
-            log.info("store-regained", feed=self.name)
+            log.info("store-regained", feed=self.name, silent_s=self._silent_s)
             self._grace_until = monotonic() + EXPIRY_GRACE_S
         self._store_unavailable = False
 
@@ -144,11 +158,17 @@
 
     def _handle_error(self, exc: StoreError) -> None:
         if exc.code is Code.STORE_HISTORY_GONE:
-            log.info("history-gone", feed=self.name, version=str(self._version), error=exc.message)
+            log.info(
+                "history-gone",
+                feed=self.name,
+                version=str(self._version),
+                silent_s=self._silent_s,
+                error=exc.message,
+            )
             self._version = None
             return
         if not self._store_unavailable:
-            log.warning("store-lost", feed=self.name, error=exc.message)
+            log.warning("store-lost", feed=self.name, silent_s=self._silent_s, error=exc.message)
         self._store_unavailable = True
         self._backoff_s = min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2 * self._backoff_s))
 
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -125,7 +125,7 @@
             if update is not None:
                 self._hub.extend_grace(self._name, update.grace_s)
                 return self._publish(
-                    update.values, update.version, update.whole, [], update.grace_s
+                    update.values, update.version, update.whole, [], update.grace_s, update.age_s
                 )
         return self._poll_store(min(wait_s, self._store_long_poll_s(role)), after)
 
@@ -218,6 +218,7 @@
         is_snapshot: bool,
         decode_errors: list,
         grace_s: float = 0.0,
+        age_s: float = 0.0,
     ) -> Changes:
         """Publish the list to followers and return its changes; a snapshot removes other names."""
         removed = dict.fromkeys(set(self._snapshot) - set(values)) if is_snapshot else {}
@@ -226,7 +227,7 @@
         if snapshot != self._snapshot or is_snapshot:
             self._hub.put(self._name, snapshot, version)
         self._snapshot = snapshot
-        return Changes(changed, version, decode_errors, grace_s)
+        return Changes(changed, version, decode_errors, grace_s, age_s)
 
     def _switch_source(self, source: str) -> None:
         if source != self._source:
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -72,8 +72,10 @@
         names: HeaderNames,
         metrics: Metrics,
         list_age_s: Callable[[], float] = lambda: 0.0,
+        rules_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._list_age_s = list_age_s
+        self._rules_age_s = rules_age_s
         self._snapshots = snapshots
         self._dispatch = dispatch
         self._client = client
@@ -197,6 +199,7 @@
     ) -> SendResult:
         up = placed.upstream
         version, list_age_s = self._snapshots.upstreams.version, self._list_age_s()
+        rules, rules_age_s = self._snapshots.rules, self._rules_age_s()
         sent = SendResult(Outcome.CANCELLED)
         try:
             sent = self._client.send(up, req)
@@ -224,6 +227,8 @@
             "request-sent",
             id=req.id,
             rule=rule.name,
+            rules=rules.version if rules else 0,
+            rules_age_s=round(rules_age_s, 3),
             attempt=attempt,
             instance=up.id,
             zone=up.zone,
--- a/gypsumwind/metrics.py
+++ b/gypsumwind/metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms per service, tenant and class, by OpenTelemetry."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
@@ -20,7 +20,12 @@
 class Metrics:
     """The instruments of one daemon; the number of tenant labels is bounded."""
 
-    def __init__(self, max_tenants: int, store_era: Callable[[], int] = lambda: 0) -> None:
+    def __init__(
+        self,
+        max_tenants: int,
+        store_era: Callable[[], int] = lambda: 0,
+        feed_ages: Callable[[], Mapping[str, float]] = dict,
+    ) -> None:
         view = View(
             instrument_name="gypsumwind_request_seconds",
             aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S),
@@ -50,6 +55,15 @@
             callbacks=[lambda options: [Observation(store_era())]],
             description="era of the platform's store; it rises when the store is restored",
         )
+        meter.create_observable_gauge(
+            "gypsumwind_feed_age_seconds",
+            callbacks=[
+                lambda options: [
+                    Observation(age_s, {"feed": name}) for name, age_s in feed_ages().items()
+                ]
+            ],
+            description="time since the last answer to a feed of the platform's store",
+        )
         self._max_tenants = max_tenants
         self._tenants: set[str] = set()
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,3 +1,4 @@
+import math
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -361,3 +362,24 @@
     for _ in range(5):
         feed_task.step()
     assert vm.instance_ids == {"a", "b"} and vm.instances["b"].available
+
+
+def test_logs_tell_how_long_a_feed_had_no_answer_and_how_old_its_source_was(clock, monkeypatch):
+    lines = []
+
+    def record(event, **fields):
+        lines.append((event, fields))
+
+    monkeypatch.setattr(feeds, "log", SimpleNamespace(info=record, warning=record))
+    feed_task, _ = make_task(
+        ScriptedFeed(Changes({}, at(1)), UNAVAILABLE, Changes({"a": 1}, at(2), age_s=1.5))
+    )
+    for _ in range(3):
+        feed_task.step()
+        clock[0] += 7.0
+    assert [(event, fields["silent_s"], fields.get("age_s")) for event, fields in lines] == [
+        ("list-changed", math.inf, 0.0),
+        ("store-lost", 7.0, None),
+        ("store-regained", 14.0, None),
+        ("list-changed", 14.0, 1.5),
+    ]
