--- a/gypsumwind/watchers.py
+++ b/gypsumwind/watchers.py
@@ -15,6 +15,7 @@
     table_to_json,
 )
 from gypsumwind.errors import Code, StoreError, TableError
+from gypsumwind.feeds import MAX_LONG_POLL_S
 from gypsumwind.gossip import is_delegate
 from gypsumwind.log import Log
 from gypsumwind.payloads import PLACES_KEY, TABLE_PREFIX, VMLIST_KEY, decode_table
@@ -27,7 +28,6 @@
 log = Log("watchers")
 
 CONFIG_PREFIX = "config/"
-WATCH_WAIT_S = 20.0
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
 IDLE_S = 0.5
@@ -102,7 +102,7 @@
         if self._revision is None:
             self._load()
             return
-        listing = self._store.watch(CONFIG_PREFIX, self._revision, WATCH_WAIT_S)
+        listing = self._store.watch(CONFIG_PREFIX, self._revision, MAX_LONG_POLL_S)
         if listing.revision < self._revision:
             log.warning("store-went-back", was=self._revision, now=listing.revision)
             self._revision = None
