A list that a peer reported in an outage is replaced by the feed's next later answer

In an outage a VM takes lists from its peers. Its feed compared the next answer with its own last list, not with the one in force: closed and opened again in between, it saw no change, and the peer's list stayed.

A feed publishes an answer that is later than the list in force when that one is later than the feed's own last. A delegate publishes news that change nothing in the end, for their version, so that its followers can tell as well. The configuration is left out: no earlier one replaces it.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import ExitStack
 from dataclasses import asdict
 from typing import Any
@@ -290,10 +290,18 @@
                 "rules", feeds.rules, DEFAULT_MIN_INTERVAL_S, self._put_rules
             ),
             UPSTREAMS_KEY: self._feed_task(
-                "upstreams", feeds.upstreams, UPSTREAMS_MIN_INTERVAL_S, self._put_upstreams
+                "upstreams",
+                feeds.upstreams,
+                UPSTREAMS_MIN_INTERVAL_S,
+                self._put_upstreams,
+                lambda: self.snapshots.upstreams.version,
             ),
             CLOSED_ZONES_KEY: self._feed_task(
-                "closed-zones", feeds.closed_zones, DEFAULT_MIN_INTERVAL_S, self._put_closed_zones
+                "closed-zones",
+                feeds.closed_zones,
+                DEFAULT_MIN_INTERVAL_S,
+                self._put_closed_zones,
+                lambda: self.snapshots.closed_zones.version,
             ),
         }
 
@@ -302,14 +310,19 @@
         return {task.name: task.age_s for task in self._feed_tasks.values()}
 
     def _feed_task(
-        self, name: str, store_feed: Feed, min_interval_s: float, put: PublishSnapshot
+        self,
+        name: str,
+        store_feed: Feed,
+        min_interval_s: float,
+        put: PublishSnapshot,
+        in_force: Callable[[], Version] | None = None,
     ) -> FeedTask:
         """Return the task of a feed, which follows another VM of the zone or the store."""
         cfg = self._cfg
         zone = ZoneView(cfg.vm, cfg.zone, self.snapshots)
         follow = PeerClient(cfg.ip, FOLLOW_TIMEOUT_S).follow
         feed = RelayedFeed(name, store_feed, zone, self._hub, follow)
-        return FeedTask(name, feed, min_interval_s, put, self._rng)
+        return FeedTask(name, feed, min_interval_s, put, self._rng, in_force)
 
     def _put_rules(self, values: Mapping[str, Ruleset], version: Version, grace_s: float) -> None:
         """Publish rules under their own version, which a restore of the store does not lower."""
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -68,7 +68,9 @@
 class FeedTask(Task):
     """Follows a feed and publishes the whole list after each change, as the store reports it.
 
-    `min_interval_s` is the minimum time between two calls; it batches frequent changes.
+    `min_interval_s` is the minimum time between two calls; it batches frequent changes. `in_force`
+    returns the version of the list in force, which a peer may have reported in an outage: a later
+    answer replaces it, also if the feed itself saw no change. None if no list replaces a later one.
     """
 
     def __init__(
@@ -78,8 +80,11 @@
         min_interval_s: float,
         publish: PublishSnapshot,
         rng: random.Random,
+        in_force: Callable[[], Version] | None = None,
     ) -> None:
         super().__init__(f"feed-{name}", min_interval_s)
+        self._in_force = in_force
+        self._published = Version()
         self._feed = feed
         self._min_interval_s = min_interval_s
         self._publish = publish
@@ -134,7 +139,7 @@
         values = {name: value for name, value in merged.items() if value is not None}
         changed = is_snapshot or values != self._values
         self._version, self._values = found.version, values
-        if changed:
+        if changed or self._replaces_list_of_peer(found.version):
             log.info(
                 "list-changed",
                 feed=self.name,
@@ -143,8 +148,13 @@
                 age_s=round(found.age_s, 3),
             )
             grace_s = max(0.0, self._grace_until - monotonic())
+            self._published = found.version
             self._publish(dict(values), found.version, grace_s)
 
+    def _replaces_list_of_peer(self, version: Version) -> bool:
+        """Return whether the list in force is later than the feed's last, and earlier than this."""
+        return self._in_force is not None and self._published < self._in_force() < version
+
     def _handle_recovery(self) -> None:
         if self._store_unavailable:
             log.info("store-regained", feed=self.name, silent_s=self._silent_s)
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -213,11 +213,15 @@
         grace_s: float = 0.0,
         age_s: float = 0.0,
     ) -> Changes:
-        """Publish the list to followers and return its changes; a snapshot removes other names."""
+        """Publish the list to followers and return its changes; a snapshot removes other names.
+
+        News that change nothing in the end are published for their version: a follower may have an
+        earlier list, of a peer, that differs.
+        """
         removed = dict.fromkeys(set(self._snapshot) - set(values)) if is_snapshot else {}
         changed = {**removed, **values}
         snapshot = {n: v for n, v in {**self._snapshot, **changed}.items() if v is not None}
-        if snapshot != self._snapshot or is_snapshot:
+        if values or is_snapshot:
             self._hub.put(self._name, snapshot, version)
         self._snapshot = snapshot
         return Changes(changed, version, decode_errors, grace_s, age_s)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -164,7 +164,7 @@
     """An instance is missing in between, so that the feed itself sees no change."""
     feed = ScriptedFeed(Changes(upstreams("a", "b"), at(1)), UNAVAILABLE, Changes({}, at(5)))
     vm = Vm("vm")
-    feed_task = FeedTask("t", feed, 0.5, vm.put, random.Random(1))
+    feed_task = FeedTask("t", feed, 0.5, vm.put, random.Random(1), vm.version_in_force)
     feed_task.step()
     feed_task.step()
     vm.put(upstreams("a"), at(3), 0.0)
@@ -173,6 +173,35 @@
     assert vm.instance_ids == {"a", "b"}
 
 
+def test_later_list_of_a_peer_is_kept_until_the_feed_s_own_answer_is_later(clock):
+    results = [Changes(upstreams("a", "b"), at(1)), Changes({}, at(3)), Changes({}, at(5))]
+    vm = Vm("vm")
+    feed = ScriptedFeed(*results)
+    feed_task = FeedTask("t", feed, 0.5, vm.put, random.Random(1), vm.version_in_force)
+    feed_task.step()
+    vm.put(upstreams("a"), at(4), 0.0)
+    feed_task.step()
+    assert vm.instance_ids == {"a"}
+    feed_task.step()
+    assert vm.instance_ids == {"a", "b"}
+
+
+def test_list_that_no_peer_replaced_is_published_once(clock):
+    published = []
+    results = [Changes({"a": 1}, at(1)), Changes({}, at(2)), Changes({}, at(3))]
+    feed_task = FeedTask(
+        "t",
+        ScriptedFeed(*results),
+        0.5,
+        lambda values, version, grace_s: published.append(version),
+        random.Random(1),
+        lambda: published[-1] if published else Version(),
+    )
+    for _ in range(3):
+        feed_task.step()
+    assert published == [at(1)]
+
+
 def test_feed_is_fresh_for_a_while_after_an_answer_and_not_during_an_outage(clock):
     feed_task, _ = make_task(
         ScriptedFeed(Changes({}, at(1)), UNAVAILABLE, UNAVAILABLE, Changes({}, at(2)))
@@ -215,6 +244,9 @@
         for vm in (self, *self._others):
             vm._records._put((record,))
 
+    def version_in_force(self):
+        return self.snapshots.upstreams.version
+
     @property
     def instances(self):
         """The dispatcher's state of each instance, after a tick."""
