--- a/tests/integration/test_lost_answers.py
+++ b/tests/integration/test_lost_answers.py
@@ -1,6 +1,8 @@
 """Real daemons that each follow a store which lost answers of waiting calls, for good."""
 
 import os
+import re
+import signal
 import time
 
 import pytest
@@ -28,11 +30,30 @@
 four seconds to be up to date and 2.5 for the change itself."""
 
 
+IN_FORCE = re.compile(r"(?P<list>[a-z-]+)-in-force version='?((?P<era>\d+)\.)?(?P<revision>\d+)")
+"""Log line of a list that is put in force."""
+
+
 @pytest.fixture
 def fleet(tmp_path, request):
     vms = getattr(request, "param", ("a1", "a1", "b1"))
     with DirectFleet(tmp_path, f"{BLOCK}.9", INSTANCES, vms) as site:
         yield site.start_vms()
+        assert decreasing_versions(site) == []
+
+
+def decreasing_versions(fleet):
+    """Return the lists of an earlier version that a process put in force, by its log."""
+    found = []
+    for vm in fleet.vms.values():
+        text, last = vm.log_path.read_text(), {}
+        for match in IN_FORCE.finditer(text):
+            version = (int(match["era"] or 0), int(match["revision"]))
+            if version < last.get(match["list"], version):
+                found.append((vm.name, match[0]))
+            last[match["list"]] = version
+        assert last
+    return found
 
 
 def update_lists(fleet):
@@ -140,3 +161,34 @@
     time.sleep(SHORT_SILENCE_S)
     change(fleet)
     wait_until(lambda: in_force(fleet), timeout=UP_TO_DATE_S, text=f"{kind} in force")
+
+
+@fleets
+def test_vm_that_was_paused_is_up_to_date_and_no_other_goes_back_to_its_old_list(fleet):
+    """The first delegate wakes up with an unread answer, after changes that the others have."""
+    update_lists(fleet)
+    first = fleet.vms[delegates("a1", [vm.name for vm in fleet.vms.values() if vm.zone == "a1"])[0]]
+    first.process.send_signal(signal.SIGSTOP)
+    try:
+        for n in range(3):
+            fleet.store.put("config", "main", platform.config(30 + n))
+            time.sleep(LOST_FOR_S / 3)
+        fleet.store.compact_history()
+    finally:
+        first.process.send_signal(signal.SIGCONT)
+    change_route(fleet)
+    wait_until(lambda: statuses(fleet, "/new/x") == {200}, timeout=UP_TO_DATE_S)
+
+
+@fleets
+def test_vm_that_starts_while_the_store_does_not_answer_it_is_up_to_date(fleet):
+    """It has its lists from peers then, and the store has answered its peers later."""
+    vm = list(fleet.vms.values())[-1]
+    vm.kill()
+    vm.log_path.unlink()
+    fleet.store.loses = lambda ip, kind: ip == vm.ip
+    vm.start()
+    wait_until(vm.ready, text="the VM has its lists from peers")
+    change_route(fleet)
+    fleet.store.loses = lambda ip, kind: False
+    wait_until(lambda: statuses(fleet, "/new/x") == {200}, timeout=UP_TO_DATE_S)
