--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -2,13 +2,14 @@
 
 Its connections to instances may hang or be reset, so only the lack of any response shows it: sends
 to several instances failed, or have waited for long, and all of them started after the last
-response of any instance. Such a VM is silenced: it refuses requests, but for one at a time that
-tries whether instances respond again.
+response of any instance. After two such sends the VM checks instances of all zones; if none of them
+responds, or after five, it is silenced: it refuses requests, but for one at a time that tries
+whether instances respond again. Callers that wait long for each answer send few requests.
 
 Open connections may live on while new ones are refused. Their responses hide it, and they become
 fewer. So new connections are judged on their own: after several that failed, and none that was
-accepted, the VM checks instances of all zones. If none accepts a connection, the VM is unconnected:
-it serves what it can on the connections that are left. In both cases it is isolated.
+accepted, the VM checks instances, too. If none accepts a connection, the VM is unconnected: it
+serves what it can on the connections that are left. In both cases it is isolated.
 """
 
 import math
@@ -21,6 +22,10 @@
 one if there is only one. A VM may use few of the instances, but does not send to one that refuses
 connections again and again."""
 
+MIN_UNANSWERED = 2
+"""Sends without a response from which a VM suspects that no instance responds, at as many instances
+as for `MIN_SENDS`. New connections that failed say nothing about those that are open."""
+
 STALL_S = 1.2
 """Time, in seconds, after which a send without a response counts as failed here: other instances
 respond within it, however slow this one is."""
@@ -29,7 +34,7 @@
 """New connections that failed in a row from which a VM suspects that all would."""
 
 RECHECK_S = 1.0
-"""Time, in seconds, for which a VM suspects nothing after a check that reached an instance."""
+"""Time, in seconds, for which a VM suspects nothing after a check that cleared a suspicion."""
 
 CONFIRM_S = 0.3
 """Time, in seconds, for which the lack of responses must last: after a pause of the process, the
@@ -67,6 +72,7 @@
         "unconnected",
         "_waiting",
         "_failed",
+        "_unanswered",
         "_refused",
         "_last_response",
         "_last_connection",
@@ -80,6 +86,7 @@
         self.unconnected = False
         self._waiting: dict[int, tuple[str, float]] = {}
         self._failed: Counter[str] = Counter()
+        self._unanswered: Counter[str] = Counter()
         self._refused: Counter[str] = Counter()
         self._last_response = -math.inf
         self._last_connection = -math.inf
@@ -107,8 +114,14 @@
         """Return whether to check if any of the known instances accepts a connection."""
         if self.isolated or not instances or now < self._next_check_at:
             return False
+        return self._is_refused(instances) or self._is_unanswered(instances, now)
+
+    def _is_refused(self, instances: int) -> bool:
         return _suffices(self._refused, MIN_REFUSALS, instances)
 
+    def _is_unanswered(self, instances: int, now: float) -> bool:
+        return _suffices(self._unanswered + self._stalled(now), MIN_UNANSWERED, instances)
+
     def record_send(self, ticket: int, instance: str, now: float) -> None:
         """Record the start of a send."""
         self._waiting[ticket] = (instance, now)
@@ -125,6 +138,8 @@
             self.record_response(now)
         elif responded is False and name and sent_at >= self._last_response:
             self._failed[name] += 1
+            if connected is not False:
+                self._unanswered[name] += 1
         if connected:
             self.record_connection(now)
         elif connected is False and name and sent_at >= self._last_connection:
@@ -134,6 +149,7 @@
         """Record a response of an instance, after which the VM is not silenced."""
         self._last_response = now
         self._failed.clear()
+        self._unanswered.clear()
         self._since = None
         self.silenced = False
 
@@ -143,13 +159,26 @@
         self._refused.clear()
         self.unconnected = False
 
-    def record_check(self, accepted: bool, now: float) -> None:
-        """Record whether any of the instances that were checked accepts a connection."""
+    def record_check(self, accepted: bool, responded: bool, instances: int, now: float) -> None:
+        """Record whether any of the instances checked accepts a connection, and if any responds.
+
+        Whatever arrived since the suspicion counts, so a check has no effect if that is refuted.
+        """
+        unconnected = not accepted and self._is_refused(instances)
+        silenced = not responded and self._is_unanswered(instances, now)
         if accepted:
             self.record_connection(now)
+        if responded:
+            self.record_response(now)
+        if not unconnected and not silenced:
             self._next_check_at = now + RECHECK_S
-        elif self._refused.total() >= MIN_REFUSALS:
-            self.unconnected = True
+            return
+        self.unconnected = self.unconnected or unconnected
+        self._silence(silenced, now)
+
+    def _silence(self, silenced: bool, now: float) -> None:
+        self.silenced = silenced
+        self._next_trial_at = now + TRIAL_INTERVAL_S
 
     def step(self, instances: int, now: float) -> bool:
         """Update the state, given the number of known instances; return whether it has changed."""
@@ -159,8 +188,7 @@
             self._since = None
             return False
         self._since = now if self._since is None else self._since
-        self.silenced = now >= self._since + CONFIRM_S
-        self._next_trial_at = now + TRIAL_INTERVAL_S
+        self._silence(now >= self._since + CONFIRM_S, now)
         return self.silenced
 
     def _stalled(self, now: float) -> Counter[str]:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -107,7 +107,8 @@
                 self._isolation.record_response(now)
                 self._isolation.record_connection(now)
             case msg.ConnectionsChecked():
-                self._isolation.record_check(message.accepted, now)
+                count = len(self._dispatcher.instances)
+                self._isolation.record_check(message.accepted, message.responded, count, now)
                 self._step_isolation(now)
             case msg.SyncSteering():
                 self._sync(now)
--- a/gypsumwind/isolations.py
+++ b/gypsumwind/isolations.py
@@ -1,7 +1,7 @@
 """Health checks of a VM that is isolated, or suspects it; each uses a new connection.
 
-They show whether any instance accepts connections, and, as an isolated VM may have no callers left,
-that instances respond again.
+They show whether any instance accepts connections and responds, and, as an isolated VM may have no
+callers left, that instances respond again.
 """
 
 import random
@@ -18,16 +18,20 @@
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
-from gypsumwind.utils import wall
+from gypsumwind.utils import monotonic, wall
 
 log = Log("isolations")
 
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.5
+MAX_CHECK_S = 3 * CHECK_TIMEOUT_S
+"""Time, in seconds, from which a check without any response is dropped: the process was paused, and
+what its instances sent meanwhile came too late for the timeout."""
+
 MAX_RESPONSE_BYTES = 4096
 
 MAX_CHECKS = 8
-"""Instances checked at a time by a VM that suspects that none accepts connections."""
+"""Instances checked at a time by a VM that suspects that it reaches none."""
 
 Checked = tuple[Upstream, str]
 """An instance and the path of its health check."""
@@ -58,11 +62,21 @@
                 self._dispatch.tell(msg.InstanceResponded())
             return
         chosen = list(self._sample(instances))
+        valid_until = monotonic() + MAX_CHECK_S
         with ThreadPoolExecutor(len(chosen)) as pool:
             results = list(pool.map(self._check, chosen))
         accepted = sum(result is not False for result in results)
-        log.info("connections-checked", instances=len(chosen), accepted=accepted)
-        self._dispatch.tell(msg.ConnectionsChecked(accepted > 0))
+        responded = sum(result is True for result in results)
+        valid = responded > 0 or monotonic() < valid_until
+        log.info(
+            "connections-checked",
+            instances=len(chosen),
+            accepted=accepted,
+            responded=responded,
+            valid=valid,
+        )
+        if valid:
+            self._dispatch.tell(msg.ConnectionsChecked(accepted > 0, responded > 0))
 
     def _instances(self) -> list[Checked]:
         """Return the instances that may get a health check, with the paths for it."""
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -379,9 +379,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ConnectionsChecked:
-    """To the dispatch actor: whether any of several instances `accepted` a new connection."""
+    """To the dispatch actor: whether any of several instances `accepted` a new connection, and
+    whether any `responded` on it."""
 
     accepted: bool
+    responded: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/core/test_isolation.py
+++ b/tests/core/test_isolation.py
@@ -6,6 +6,7 @@
     CONFIRM_S,
     MIN_REFUSALS,
     MIN_SENDS,
+    MIN_UNANSWERED,
     RECHECK_S,
     STALL_S,
     TRIAL_INTERVAL_S,
@@ -99,7 +100,7 @@
 def test_responses_on_open_connections_do_not_hide_that_new_ones_are_refused(detector):
     refuse(detector, MIN_REFUSALS, 1.0)
     assert detector.suspects(INSTANCES, 1.1) and not detector.isolated
-    detector.record_check(False, 1.2)
+    detector.record_check(False, False, INSTANCES, 1.2)
     assert detector.isolated and detector.unconnected and not detector.silenced
     send(detector, 51, 1.3)
     detector.record_end(51, True, 1.4)
@@ -112,7 +113,7 @@
 
 def test_check_that_reaches_an_instance_ends_the_suspicion(detector):
     refuse(detector, MIN_REFUSALS, 1.0)
-    detector.record_check(True, 1.2)
+    detector.record_check(True, True, INSTANCES, 1.2)
     assert not detector.suspects(INSTANCES, 1.2) and not detector.isolated
     refuse(detector, MIN_REFUSALS, 1.3)
     assert not detector.suspects(INSTANCES, 1.4)
@@ -126,7 +127,7 @@
     detector.record_end(60, True, 1.2, True)
     refuse(detector, MIN_REFUSALS - 1, 1.3)
     assert not detector.suspects(INSTANCES, 1.4)
-    detector.record_check(False, 1.4)
+    detector.record_check(False, False, INSTANCES, 1.4)
     assert not detector.isolated
 
 
@@ -144,3 +145,52 @@
     refuse(detector, 2 * MIN_REFUSALS, 1.0, "i-1")
     assert not detector.suspects(INSTANCES, 1.1)
     assert detector.suspects(1, 1.1) and not detector.suspects(0, 1.1)
+
+
+def hang(detector, now, count=MIN_UNANSWERED):
+    """Begin sends that get no response; return when that counts."""
+    for ticket in range(count):
+        send(detector, ticket, now)
+    return now + STALL_S
+
+
+def test_vm_with_few_requests_is_isolated_after_a_check_that_no_instance_answers(detector):
+    """Its callers wait long for each answer, so that there are no more sends."""
+    now = hang(detector, 1.0)
+    assert not detector.suspects(INSTANCES, now - 0.1)
+    assert detector.suspects(INSTANCES, now) and not steps(detector, INSTANCES, now)
+    detector.record_check(True, False, INSTANCES, now + 0.5)
+    assert detector.isolated and not detector.unconnected and not detector.admits(now + 0.5)
+    detector.record_end(0, True, now + 0.6)
+    assert not detector.isolated
+
+
+def test_vm_whose_instances_are_slow_is_not_isolated_as_others_answer_the_check(detector):
+    now = hang(detector, 1.0)
+    detector.record_check(True, True, INSTANCES, now + 0.1)
+    assert not detector.isolated and not detector.suspects(INSTANCES, now + 9.0)
+    assert detector.suspects(INSTANCES, hang(detector, now + 9.0))
+
+
+def test_response_during_a_check_refutes_it(detector):
+    """As after a pause of the process, whose waiting responses are read before the check ends."""
+    now = hang(detector, 1.0, MIN_UNANSWERED + 1)
+    assert detector.suspects(INSTANCES, now)
+    detector.record_end(0, True, now + 0.1)
+    detector.record_check(False, False, INSTANCES, now + 0.5)
+    assert not detector.isolated
+
+
+def test_unanswered_sends_to_one_instance_are_no_suspicion_unless_it_is_the_only_one(detector):
+    for ticket in range(9):
+        send(detector, ticket, 1.0, "i-1")
+    assert not detector.suspects(INSTANCES, 1.0 + STALL_S)
+    assert detector.suspects(1, 1.0 + STALL_S)
+
+
+def test_refused_connections_do_not_silence_a_vm_that_may_serve_on_open_ones(detector):
+    for ticket in range(MIN_REFUSALS):
+        send(detector, ticket, 1.0)
+        detector.record_end(ticket, False, 1.1, False)
+    detector.record_check(False, False, INSTANCES, 1.2)
+    assert detector.unconnected and not detector.silenced and detector.admits(1.2)
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -158,7 +158,7 @@
     actor.ask(msg.SyncSteering())
     refuse_connections(actor)
     assert snapshots.isolation_suspected
-    actor.ask(msg.ConnectionsChecked(False))
+    actor.ask(msg.ConnectionsChecked(False, False))
     assert not snapshots.isolation_suspected
     assert place(actor, 1).result(1).reason == ISOLATED
     connected.add(2)
@@ -176,7 +176,7 @@
     snapshots.upstreams = UpstreamList(Version(0, 2), {"i1": UP, "i2": other})
     actor.ask(msg.SyncSteering())
     refuse_connections(actor)
-    actor.ask(msg.ConnectionsChecked(True))
+    actor.ask(msg.ConnectionsChecked(True, False))
     assert not snapshots.isolation_suspected
     assert isinstance(place(actor, 1).result(1), Placed)
 
@@ -186,7 +186,7 @@
     snapshots.upstreams = UpstreamList(Version(0, 2), {up.id: up for up in ups})
     actor.ask(msg.SyncSteering())
     refuse_connections(actor)
-    actor.ask(msg.ConnectionsChecked(False))
+    actor.ask(msg.ConnectionsChecked(False, False))
     for n, up in enumerate(ups):
         cut = msg.SendFinished(
             up, Outcome.CUT, None, 0.1, False, fingerprint="victim", crashed_at=wall() + n
--- a/tests/test_isolations.py
+++ b/tests/test_isolations.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from gypsumwind import isolations
+from gypsumwind import messages as msg
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.versions import Version
-from gypsumwind.isolations import MAX_CHECKS, IsolationTask
+from gypsumwind.isolations import MAX_CHECK_S, MAX_CHECKS, IsolationTask
 from tests.standins.steered import Instance
 
 ZONES = ["a1", "a2", "b1", "b2", "c1"]
@@ -62,9 +64,15 @@
 
 
 @pytest.mark.parametrize(
-    ("how", "accepted"), [("refused", False), ("refuse-new", False), ("hang", True), ("ok", True)]
+    ("how", "accepted", "responded"),
+    [
+        ("refused", False, False),
+        ("refuse-new", False, False),
+        ("hang", True, False),
+        ("ok", True, True),
+    ],
 )
-def test_one_instance_that_accepts_a_connection_shows_that_the_vm_is_not_isolated(how, accepted):
+def test_one_instance_shows_that_connections_are_accepted_or_answered(how, accepted, responded):
     with Instance("i-1") as instance:
         if how in ("refuse-new", "hang"):
             instance.cut_from = {"127.0.0.1": how}
@@ -74,4 +82,18 @@
         )
         task.step()
         instance.cut_from = {}
-    assert [message.accepted for message in dispatch] == [accepted]
+    assert dispatch == [msg.ConnectionsChecked(accepted, responded)]
+
+
+def test_check_during_which_the_process_was_paused_tells_nothing(monkeypatch):
+    task, dispatch = make_task([upstream("i-1"), upstream("i-2")])
+    now = [0.0]
+
+    def check(checked):
+        now[0] += MAX_CHECK_S
+        return False
+
+    monkeypatch.setattr(isolations, "monotonic", lambda: now[0])
+    monkeypatch.setattr(task, "_check", check)
+    task.step()
+    assert not dispatch
