Documents of a later version are read without the fields that are unknown here

While machines are replaced, VMs of two versions exchange lists. A rule, service, limit, instance or history entry with a field that a later version added was taken for malformed, so that the older VMs dropped whole lists of the newer ones: the record of the configuration and of the instances, the table, and relays' updates, after which each follower calls the store itself. Thrift messages ignore unknown fields already.

from_fields() takes the fields it knows. Until all VMs have this version, a new field still needs the old one's consent: another test holds our documents to what reads.

--- a/gypsumwind/core/rules.py
+++ b/gypsumwind/core/rules.py
@@ -11,6 +11,8 @@
 
 import xxhash
 
+from gypsumwind.core.documents import from_fields
+
 DEFAULT_HEADER_BYTES = 65536
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_HEADER_S = 10.0
@@ -162,12 +164,12 @@
 def ruleset_from_json(doc: Mapping[str, Any]) -> Ruleset:
     """Decode a ruleset from a document; ValueError if it is malformed."""
     try:
-        policies = [ServicePolicy(**item) for item in doc["services"]]
+        policies = [from_fields(ServicePolicy, item) for item in doc["services"]]
         return ruleset(
             int(doc["version"]),
             [_rule_from_json(item) for item in doc["rules"]],
             {policy.name: policy for policy in policies},
-            CallerLimits(**doc["limits"]),
+            from_fields(CallerLimits, doc["limits"]),
         )
     except (KeyError, TypeError) as exc:
         raise ValueError(f"malformed ruleset: {exc!r}") from exc
@@ -186,4 +188,4 @@
     values["kind"] = RequestKind(doc["kind"])
     values["parts"] = tuple(WeightedService(service, weight) for service, weight in doc["parts"])
     values["regions"] = frozenset(doc["regions"])
-    return Rule(**values)
+    return from_fields(Rule, values)
--- a/gypsumwind/core/table.py
+++ b/gypsumwind/core/table.py
@@ -5,6 +5,7 @@
 from functools import cache
 from typing import Any
 
+from gypsumwind.core.documents import from_fields
 from gypsumwind.core.shifts import Shift, constant_shift
 from gypsumwind.errors import TableError
 
@@ -267,7 +268,7 @@
                 for region, cells in doc["rows"].items()
             },
             instances={i["name"]: _instance_from_json(i) for i in doc["instances"]},
-            history=tuple(EditRecord(**record) for record in doc.get("history", ())),
+            history=tuple(from_fields(EditRecord, record) for record in doc.get("history", ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise TableError(f"table document: {type(exc).__name__}: {exc}") from exc
--- a/gypsumwind/core/upstreams.py
+++ b/gypsumwind/core/upstreams.py
@@ -4,6 +4,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from gypsumwind.core.documents import from_fields
 from gypsumwind.core.lapses import EXPIRY_GRACE_S
 from gypsumwind.core.versions import Version
 
@@ -61,7 +62,7 @@
 def upstream_from_json(doc: Mapping[str, Any]) -> Upstream:
     """Decode the document of one instance; ValueError if it is malformed."""
     try:
-        return Upstream(**doc)
+        return from_fields(Upstream, doc)
     except TypeError as exc:
         raise ValueError(f"malformed upstream: {exc!r}") from exc
 
--- a/tests/upgrades/test_upgrades.py
+++ b/tests/upgrades/test_upgrades.py
@@ -163,6 +163,29 @@
     assert read_document(name, recorded.documents[name]) == READERS[name][1]
 
 
+OBJECTS = ("limits",)
+"""Fields whose value is an object of its own; other inner mappings have names as keys."""
+
+
+def with_later_fields(doc):
+    """Return a document with a field that this version does not know, in all its objects."""
+    if isinstance(doc, list):
+        return [with_later_fields(item) for item in doc]
+    if not isinstance(doc, dict):
+        return doc
+    inner = {
+        name: with_later_fields(value) if isinstance(value, list) or name in OBJECTS else value
+        for name, value in doc.items()
+    }
+    return {**inner, "of_a_later_version": {"a": 1}}
+
+
+@pytest.mark.parametrize("name", READERS)
+def test_document_of_a_later_version_is_read_without_its_new_fields(name):
+    doc = with_later_fields(json.loads(json.dumps(samples.documents()[name])))
+    assert read_document(name, doc) == READERS[name][1]
+
+
 @pytest.mark.parametrize("name", samples.documents())
 def test_our_document_has_all_that_another_version_reads_and_no_field_unknown_to_it(recorded, name):
     """The versions up to ca8b0cc take a document with an unknown field for malformed."""
