Review: relays pass on versions, too; a check of connections does not end a VM's silence

In a zone with relays a relay did not publish news that change nothing in the end, so that its followers could not tell that a peer's list is earlier: the case of 60 VMs failed. A check that finds a VM unconnected cleared the state in which it refuses requests, if other sends had brought it there while the check was under way. _publish takes the changes as they are.

--- a/gypsumwind/core/isolation.py
+++ b/gypsumwind/core/isolation.py
@@ -111,7 +111,7 @@
         }
 
     def suspects(self, instances: int, now: float) -> bool:
-        """Return whether to check if any of the known instances accepts a connection."""
+        """Return whether to check if any of the known instances can be reached."""
         if self.isolated or not instances or now < self._next_check_at:
             return False
         return self._is_refused(instances) or self._is_unanswered(instances, now)
@@ -174,10 +174,11 @@
             self._next_check_at = now + RECHECK_S
             return
         self.unconnected = self.unconnected or unconnected
-        self._silence(silenced, now)
+        if silenced:
+            self._silence(now)
 
-    def _silence(self, silenced: bool, now: float) -> None:
-        self.silenced = silenced
+    def _silence(self, now: float) -> None:
+        self.silenced = True
         self._next_trial_at = now + TRIAL_INTERVAL_S
 
     def step(self, instances: int, now: float) -> bool:
@@ -188,7 +189,8 @@
             self._since = None
             return False
         self._since = now if self._since is None else self._since
-        self._silence(now >= self._since + CONFIRM_S, now)
+        if now >= self._since + CONFIRM_S:
+            self._silence(now)
         return self.silenced
 
     def _stalled(self, now: float) -> Counter[str]:
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -102,6 +102,7 @@
         self._source: str | None = None
         self._cursor = (0, 0)
         self._snapshot: dict[str, Any] = {}
+        self._version = Version()
         self._store_unavailable = False
 
     def read(self) -> Changes:
@@ -119,9 +120,11 @@
             update = self._poll_vm(vm, endpoint, min(wait_s, FOLLOW_LONG_POLL_S), role.is_relay)
             if update is not None:
                 self._hub.extend_grace(self._name, update.grace_s)
-                return self._publish(
-                    update.values, update.version, update.whole, [], update.grace_s, update.age_s
+                found = Changes(
+                    update.values, update.version, [], grace_s=update.grace_s, age_s=update.age_s
                 )
+                has_news = bool(update.values) or update.version != self._version
+                return self._publish(found, update.whole, has_news)
         return self._poll_store(min(wait_s, self._store_long_poll_s(role)), after)
 
     def _available_sources(self, role: Role) -> list[tuple[str, Endpoint]]:
@@ -187,7 +190,7 @@
         if self._store_unavailable:
             self._store_unavailable = False
             self._hub.extend_grace(self._name, EXPIRY_GRACE_S)
-        changes = self._publish(found.values, found.version, is_snapshot, found.decode_errors)
+        changes = self._publish(found, is_snapshot, bool(found.values))
         self._hub.record_answer(self._name)
         return changes
 
@@ -204,27 +207,20 @@
         is_short = self._high_rate or role.has_followers
         return FOLLOW_LONG_POLL_S if is_short else MAX_LONG_POLL_S
 
-    def _publish(
-        self,
-        values: Mapping[str, Any],
-        version: Version,
-        is_snapshot: bool,
-        decode_errors: list,
-        grace_s: float = 0.0,
-        age_s: float = 0.0,
-    ) -> Changes:
+    def _publish(self, found: Changes, is_snapshot: bool, has_news: bool) -> Changes:
         """Publish the list to followers and return its changes; a snapshot removes other names.
 
         News that change nothing in the end are published for their version: a follower may have an
         earlier list, of a peer, that differs.
         """
-        removed = dict.fromkeys(set(self._snapshot) - set(values)) if is_snapshot else {}
-        changed = {**removed, **values}
-        snapshot = {n: v for n, v in {**self._snapshot, **changed}.items() if v is not None}
-        if values or is_snapshot:
-            self._hub.put(self._name, snapshot, version)
-        self._snapshot = snapshot
-        return Changes(changed, version, decode_errors, grace_s, age_s)
+        removed = dict.fromkeys(set(self._snapshot) - set(found.values)) if is_snapshot else {}
+        changed = {**removed, **found.values}
+        merged = {**self._snapshot, **changed}
+        self._snapshot = {name: value for name, value in merged.items() if value is not None}
+        if has_news or is_snapshot:
+            self._version = found.version
+            self._hub.put(self._name, self._snapshot, found.version)
+        return replace(found, values=changed)
 
     def _switch_source(self, source: str) -> None:
         if source != self._source:
--- a/tests/core/test_isolation.py
+++ b/tests/core/test_isolation.py
@@ -188,6 +188,16 @@
     assert detector.suspects(1, 1.0 + STALL_S)
 
 
+def test_check_of_connections_does_not_admit_requests_to_a_silenced_vm(detector):
+    """The VM was silenced by other sends while the check was under way."""
+    for ticket in range(MIN_SENDS):
+        send(detector, ticket, 1.0)
+        detector.record_end(ticket, False, 1.1, False)
+    assert steps(detector, INSTANCES, 1.2)
+    detector.record_check(False, False, INSTANCES, 1.6)
+    assert detector.unconnected and detector.silenced
+
+
 def test_refused_connections_do_not_silence_a_vm_that_may_serve_on_open_ones(detector):
     for ticket in range(MIN_REFUSALS):
         send(detector, ticket, 1.0)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -315,9 +315,10 @@
     assert hub.follow("t", 0, 0, 0.0).age_s == 3.0 and hub.age_s("quiet") == 0.0
 
 
-def test_follower_learns_the_version_of_changes_that_changed_nothing_in_the_end(clock):
+@pytest.mark.parametrize("names", [VMS, LARGE_ZONE], ids=len)
+def test_follower_learns_the_version_of_changes_that_changed_nothing_in_the_end(clock, names):
     """Otherwise an earlier list that a peer reported in an outage stays in force there."""
-    fleet = FakeFleet()
+    fleet = FakeFleet(names)
     fleet.store.set("a", 1)
     fleet.step()
     fleet.store.set("a", None)
