Test fleets end all their processes, also if one does not exit in time

A VM that the teardown of test_not_run_status_is_retried_at_another_instance had killed was not reaped within 10 s; the error left the other VMs, the proxy and the store of that test running, so that three tests of test_links.py on the same addresses failed. The teardown kills all before it waits for any, and closes the rest in any case; the bound is the same.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -40,6 +40,10 @@
     raise AssertionError(f"timed out after {timeout} s: {text or check} (last value: {last!r})")
 
 
+KILL_TIMEOUT_S = 10
+"""Longest wait, in seconds, for the exit of a process that was killed."""
+
+
 @dataclass
 class Service:
     """A service: instances per zone, slots per instance, and cells that every row gets."""
@@ -94,7 +98,7 @@
     def kill(self):
         """Kill the process and wait for its exit."""
         self.signal(signal.SIGKILL)
-        self.process.wait(10)
+        self.process.wait(KILL_TIMEOUT_S)
 
     def pause(self):
         """Pause the process with SIGSTOP."""
@@ -310,11 +314,13 @@
         self._stop()
 
     def _stop(self):
-        for vm in self.vms.values():
-            if vm.running:
-                vm.signal(signal.SIGCONT)
-                vm.kill()
-        self._stack.close()
+        """Kill all VMs before waiting for any, so that one that is slow to exit leaves no other."""
+        with self._stack:
+            running = [vm for vm in self.vms.values() if vm.running]
+            for vm in running:
+                vm.signal(signal.SIGKILL)
+            for vm in running:
+                vm.process.wait(KILL_TIMEOUT_S)
 
     def logs(self):
         """Return the logs of all daemons, for the report of a failed test."""
