--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -241,22 +241,37 @@
         self.name, self.service, self.zone = name, service, zone
         self.record, self.work_s, self.slots, self.behave = record, work_s, slots, behave
         self.running = 0
+        self.born = 1700000000000
+        self.deadly = None
+        """Called when a request begins to run; True if it crashes the instance."""
         self.ran = []
         self.arrivals = []
         self._free = asyncio.Semaphore(slots)
         self._writers = set()
 
     async def start(self):
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, below those of outgoing connections, so that it stays free."""
+        while True:
+            self.port = random.SystemRandom().randrange(10000, 20000)
+            with suppress(OSError):
+                self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+                return
 
     def entry(self, state="ready"):
         """Return spec and status of the entry in the store."""
         info = {"service": self.service, "version": "v1", "zone": self.zone, "capacity": self.slots}
-        spec = {"address": f"127.0.0.1:{self.port}", "born": 1700000000000, "info": info}
+        spec = {"address": f"127.0.0.1:{self.port}", "born": self.born, "info": info}
         return spec, {"state": state, "sequence": 1, "coldRemainingS": 0}
 
+    async def restart(self, down_s):
+        """Crash, and start again at the same address after a while; return the new entry."""
+        self.stop()
+        await asyncio.sleep(down_s)
+        self.born += int(down_s * 1000)
+        self._free = asyncio.Semaphore(self.slots)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        return self.entry()
+
     def stop(self):
         """End: accept no connection and reset the open ones."""
         self._server.close()
@@ -292,6 +307,8 @@
             async with self._free:
                 self.ran.append((request, line[0], line[1], body))
                 self.record.write(f"run {request} at {self.name}: {line[0]} {line[1]}")
+                if self.deadly is not None and await self.deadly(self, line[1]):
+                    return False
                 await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
