EVAC: a closure written after a restore is in force whatever its revision

Cause: ClosedZones kept the bare revision of each lifted closure, to ignore one that a backup lists again, and compared every later list with it, also of eras in which revisions had been assigned again. Two more ways to the same: a zone closed, lifted and closed again before the restore, whose last closure is written again at the first's revision, reopened after 10 s; and a follower whose list is the same before and after the restore did not publish the first list of the new era (FeedTask published changes only), so that it took a later closure for one of the backup.

Ruled out: the comparison of versions between VMs and of watch cursors (pairs of era and revision); decode_errors (a log line only); InstanceHistory, which compares the instances' own start times: these do not repeat.

Fix: only the first list of an era can hold a closure from the backup, so only that one is compared, and only zones that were open then. A closure that appears later, or has another revision, is in force. One in the first list may still be new, for a VM that was paused or cut off through both, or if it was written again at once; revisions cannot tell, so it is ignored for 3 s, in which a lift is written again, and in force after that. FeedTask publishes the first list of an era though it is the same.

--- a/gypsumwind/core/restores.py
+++ b/gypsumwind/core/restores.py
@@ -16,6 +16,11 @@
 """Time, in seconds after a restore, for which a zone stays closed whose closure is missing from the
 backup: operators write it again, and a zone closed for too long only reduces capacity."""
 
+RELISTED_GRACE_S = 3.0
+"""Time, in seconds after a restore, for which a zone stays open that was reopened before it and
+that the restored list has as closed: its reopening is written again. The closure may also be a new
+one, whose revision was assigned again, so it is in force after that."""
+
 MAX_DEPARTED = 10_000
 """Maximum number of departed instances kept; the oldest are evicted."""
 
@@ -96,34 +101,61 @@
 class ClosedZones:
     """The zones that get no requests: closed, or with a closure that a restore may have lost."""
 
-    __slots__ = ("_era", "_listed", "_zones", "_lifted")
+    __slots__ = ("_era", "_listed", "_zones", "_lifted", "_relisted", "_relisted_until")
 
     def __init__(self) -> None:
         self._era: int | None = None
         self._listed: Mapping[str, int] = {}
         self._zones = GracePeriodList()
         self._lifted: dict[str, int] = {}
+        self._relisted: Mapping[str, int] = {}
+        self._relisted_until = 0.0
 
     @property
     def zones(self) -> frozenset[str]:
         """Return the zones that are treated as closed."""
         return frozenset(self._zones.values)
 
+    @property
+    def relisted(self) -> frozenset[str]:
+        """Return the zones that are listed as closed but were reopened before a restore."""
+        return frozenset(self._relisted)
+
     def apply_list(self, found: ZoneClosures, now: float) -> None:
         """Apply a complete list.
 
-        A closure that was lifted before a restore and returns with it is ignored: it still has its
-        old revision.
+        Only the first list of an era can contain a closure from the backup that was lifted before
+        the restore. A closure that appears later was written in that era, whatever its revision.
         """
         listed = found.revisions
         restored = self._era is not None and found.version.era > self._era
-        if not restored:
-            lifted = {name: rev for name, rev in self._listed.items() if name not in listed}
-            self._lifted.update(lifted)
-        in_force = {n: rev for n, rev in listed.items() if self._lifted.get(n) != rev}
-        self._zones.apply_list(in_force, now + CLOSURE_GRACE_S if restored else now, now)
+        self._zones.expire(now)
+        if restored:
+            self._relisted = {n: rev for n, rev in listed.items() if self._was_lifted(n, rev)}
+            self._relisted_until = now + RELISTED_GRACE_S
+        else:
+            for name, rev in self._listed.items():
+                if name not in listed:
+                    self._lifted[name] = max(rev, self._lifted.get(name, rev))
+            unchanged = {n: rev for n, rev in self._relisted.items() if listed.get(n) == rev}
+            self._relisted = unchanged if now < self._relisted_until else {}
         self._era, self._listed = found.version.era, listed
+        self._apply(now + CLOSURE_GRACE_S if restored else now, now)
 
     def expire(self, now: float) -> bool:
-        """Reopen zones whose closure was not written again in time; return if there were any."""
-        return self._zones.expire(now)
+        """End the grace periods that have passed; return whether a zone was closed or reopened."""
+        before = self.zones
+        if self._relisted and now >= self._relisted_until:
+            self._relisted = {}
+            self._apply(now, now)
+        self._zones.expire(now)
+        return self.zones != before
+
+    def _was_lifted(self, name: str, revision: int) -> bool:
+        """Return whether a closure in the first list of an era may be one lifted before it."""
+        lifted = self._lifted.get(name)
+        return lifted is not None and revision <= lifted and name not in self._zones.values
+
+    def _apply(self, grace_until: float, now: float) -> None:
+        in_force = {n: rev for n, rev in self._listed.items() if n not in self._relisted}
+        self._zones.apply_list(in_force, grace_until, now)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -72,6 +72,7 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._instance_history = InstanceHistory()
         self._closed_zones = ClosedZones()
+        self._relisted_zones: frozenset[str] = frozenset()
         self._rules: Ruleset | None = None
         self._usable: frozenset[str] = frozenset()
         self._kept: frozenset[str] = frozenset()
@@ -238,7 +239,7 @@
         if self._crashes.quarantined != self._quarantined:
             self._apply_quarantines()
         if self._closed_zones.expire(now):
-            self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
+            self._put_closed_zones_in_force(now)
         self._dispatch_queued(now)
         if self._dispatcher.kept != self._kept:
             self._log_instances()
@@ -296,10 +297,23 @@
             self._exclude_departed(up, wall_now)
         self._dispatcher.set_upstreams(entries, now, wall_now, grace_until)
         self._closed_zones.apply_list(snapshots.closed_zones, now)
-        self._dispatcher.set_closed_zones(self._closed_zones.zones, now)
+        self._put_closed_zones_in_force(now)
         self._log_instances()
         self._dispatch_queued(now)
 
+    def _put_closed_zones_in_force(self, now: float) -> None:
+        """Pass the closed zones to the dispatcher; log them if they changed."""
+        closed, relisted = self._closed_zones.zones, self._closed_zones.relisted
+        if (closed, relisted) != (self._dispatcher.closed_zones, self._relisted_zones):
+            log.info(
+                "zones-closed",
+                list=str(self._snapshots.closed_zones.version),
+                zones=sorted(closed),
+                relisted=sorted(relisted),
+            )
+        self._relisted_zones = relisted
+        self._dispatcher.set_closed_zones(closed, now)
+
     def _log_instances(self) -> None:
         """Log the instances that became usable or unusable, and those kept for a grace period."""
         instances, kept = self._dispatcher.instances, self._dispatcher.kept
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -132,12 +132,12 @@
 
     def _apply(self, found: Changes, is_snapshot: bool) -> None:
         self._handle_recovery()
-        self._detect_restore(found.version.era)
+        restored = self._detect_restore(found.version.era)
         self._grace_until = max(self._grace_until, monotonic() + found.grace_s)
         self._log_decode_errors(found)
         merged = found.values if is_snapshot else {**self._values, **found.values}
         values = {name: value for name, value in merged.items() if value is not None}
-        changed = is_snapshot or values != self._values
+        changed = is_snapshot or restored or values != self._values
         self._version, self._values = found.version, values
         if changed or self._replaces_list_of_peer(found.version):
             log.info(
@@ -161,12 +161,18 @@
             self._grace_until = monotonic() + EXPIRY_GRACE_S
         self._store_unavailable = False
 
-    def _detect_restore(self, era: int) -> None:
-        """Start a grace period in which entries that a restore lost can be written again."""
-        if self._era is not None and era > self._era:
+    def _detect_restore(self, era: int) -> bool:
+        """Start a grace period in which entries that a restore lost can be written again.
+
+        Return whether the store was restored: its first list is published even if it is the same as
+        the last one before, as only later closures and departures are known to be new.
+        """
+        restored = self._era is not None and era > self._era
+        if restored:
             log.info("list-restored", feed=self.name, era=era, was=self._era)
             self._grace_until = monotonic() + EXPIRY_GRACE_S
         self._era = era
+        return restored
 
     def _handle_error(self, exc: StoreError) -> None:
         if exc.code is Code.STORE_HISTORY_GONE:
--- a/tests/integration/test_restores.py
+++ b/tests/integration/test_restores.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -158,3 +159,33 @@
         wait_until(
             lambda vm=vm: used_instances(fleet, vm) == {"i-1"}, text=f"{vm.name} has the last list"
         )
+
+
+@pytest.mark.parametrize("fleet", [("a1", "a1", "b1")], indirect=True)
+def test_zone_closed_at_the_revision_of_a_closure_lifted_before_a_restore_is_closed(fleet):
+    """Guards against an evacuation that every VM ignores after a restore (EVAC)."""
+    wait_until(lambda: registered_vms(fleet) == set(fleet.vms), text="all VMs are registered")
+
+    def reached():
+        """Return whether any VM sends a request to the zone within a second."""
+        statuses = set()
+        for n in range(4):
+            time.sleep(0.25)
+            statuses |= {fleet.send(vm, request=f"r-{n}").status for vm in fleet.vms.values()}
+        return 200 in statuses
+
+    backup = fleet.store.take_backup()
+    fleet.store.put("evacuations", "a1", {})
+    revision = fleet.store.revision
+    wait_until(lambda: not reached(), text="all VMs have closed the zone")
+    fleet.store.remove("evacuations", "a1")
+    wait_until(reached, text="a VM has reopened the zone")
+    fleet.store.restore(backup, outage_s=0.3)
+    for vm in fleet.vms.values():
+        wait_until(
+            lambda vm=vm: "list-restored feed='feed-closed-zones'" in log_of(vm),
+            text=f"{vm.name} detects the restore",
+        )
+    fleet.store.revision = revision - 1
+    fleet.store.put("evacuations", "a1", {})
+    wait_until(lambda: not reached(), text="all VMs have closed the zone again")
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -396,6 +396,15 @@
     assert vm.instance_ids == {"a", "b"} and vm.instances["b"].available
 
 
+def test_first_list_after_a_restore_is_published_though_it_is_the_same(clock):
+    """Otherwise a follower takes a later change for a part of the backup (EVAC)."""
+    results = [Changes({"a": 1}, at(9)), Changes({}, at(7, era=1)), Changes({}, at(8, era=1))]
+    feed_task, published = make_task(ScriptedFeed(*results))
+    for _ in range(3):
+        feed_task.step()
+    assert published == [({"a": 1}, 9), ({"a": 1}, 7)]
+
+
 def test_logs_tell_how_long_a_feed_had_no_answer_and_how_old_its_source_was(clock, monkeypatch):
     lines = []
 
