CONFIG: deadline, hang-up and stop also end a body that ends with its connection

TrackedConnection.close ended the scope and the deadline there, and sock was None from then on, so that nothing could end the read. The same class guards the calls to the store and to other VMs: a read, a write and a watch of the store hung alike.

Ruled out: the timeout of a read (it starts anew with each byte, as designed; the deadline is there for that); response.read(65536), which returns late but is no cause: a sound body returns at its end, so no whole answer is delayed; answers to HEAD, 204 and 304 and interim heads hold (tests that pass before, too).

Fix: scope and deadline hold until the request ends (end_request, or a close of ours). While the library hands a socket over, the connection keeps it, with a reference, so that its descriptor cannot be another socket's when it is shut down. As the end of a body without a length is the end of the connection, a shutdown would make it look whole: the reader raises ConnectionAbortedError at an end that this VM caused.

--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -326,9 +326,13 @@
             left = req.deadline - monotonic()
             if left <= 0:
                 raise TimeoutError("the answer was not whole in time")
-            if conn.sock is not None:
-                conn.sock.settimeout(left)
-            chunk = response.read(CHUNK_BYTES, decode_content=False)
+            conn.set_read_timeout(left)
+            try:
+                chunk = response.read(CHUNK_BYTES, decode_content=False)
+            except (HTTPException, HTTPError, OSError) as exc:
+                if conn.expired and conn.in_body:
+                    raise TimeoutError("the answer was not whole in time") from exc
+                raise
             if not chunk:
                 return
             yield chunk
--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -2,10 +2,12 @@
 
 The library bounds each line but not their number, so a server that sends unbounded lines blocks its
 reader whatever the timeout of a single read. The library also treats the end of the connection
-within a head as the end of the head, so a response truncated there would look complete.
+within a head as the end of the head, so a response truncated there would look complete. So would a
+body without a length whose connection this VM shuts down.
 """
 
 import io
+from collections.abc import Callable
 from http.client import HTTPException, HTTPResponse
 from typing import Any
 
@@ -19,10 +21,11 @@
 
 
 class _CountingRaw(io.RawIOBase):
-    """A raw stream that counts the bytes read from a socket."""
+    """A raw stream that counts the bytes read from a socket; its end is an error once `aborted`."""
 
-    def __init__(self, raw: io.RawIOBase) -> None:
+    def __init__(self, raw: io.RawIOBase, aborted: Callable[[], bool]) -> None:
         self._raw = raw
+        self._aborted = aborted
         self.count = 0
 
     def readable(self) -> bool:
@@ -30,6 +33,8 @@
 
     def readinto(self, buffer: Any) -> int | None:
         size = self._raw.readinto(buffer)  # type: ignore[attr-defined]
+        if size == 0 and self._aborted():
+            raise ConnectionAbortedError("shut down before the end of its response")
         self.count += size or 0
         return size
 
@@ -39,12 +44,17 @@
 
 
 class BoundedReader(io.BufferedReader):
-    """A reader whose lines may sum up to `MAX_FRAMING_BYTES` plus the bytes read otherwise."""
+    """A reader whose lines may sum up to `MAX_FRAMING_BYTES` plus the bytes read otherwise.
 
-    def __init__(self, raw: io.RawIOBase) -> None:
-        self._counter = _CountingRaw(raw)
+    `aborted`: whether this VM shut the connection down; its end is a ConnectionAbortedError then.
+    `in_body`: whether the last read was one of the body.
+    """
+
+    def __init__(self, raw: io.RawIOBase, aborted: Callable[[], bool]) -> None:
+        self._counter = _CountingRaw(raw, aborted)
         super().__init__(self._counter)
         self._budget = MAX_FRAMING_BYTES
+        self.in_body = False
 
     @property
     def received(self) -> int:
@@ -53,6 +63,7 @@
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read a line; FramingError beyond the bound or if the connection ends within it."""
+        self.in_body = False
         budget = self._budget + 1
         limit = budget if size is None or size < 0 else min(size, budget)
         line = super().readline(limit)
@@ -65,18 +76,21 @@
 
     def read(self, size: int | None = -1, /) -> bytes:
         """Read bytes of the body."""
+        self.in_body = True
         data = super().read(size)
         self._budget += len(data)
         return data
 
     def readinto(self, buffer: Any, /) -> int:
         """Read bytes of the body."""
+        self.in_body = True
         size = super().readinto(buffer)
         self._budget += size
         return size
 
     def read1(self, size: int = -1, /) -> bytes:
         """Read bytes of the body."""
+        self.in_body = True
         data = super().read1(size)
         self._budget += len(data)
         return data
@@ -85,7 +99,9 @@
 class BoundedResponse(HTTPResponse):
     """The library's response, read through a BoundedReader."""
 
-    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, sock: Any, *args: Any, aborted: Callable[[], bool] = lambda: False, **kwargs: Any
+    ) -> None:
         super().__init__(sock, *args, **kwargs)
-        self.reader = BoundedReader(self.fp.detach())
+        self.reader = BoundedReader(self.fp.detach(), aborted)
         self.fp = self.reader
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -14,8 +14,9 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.response import HTTPResponse
 
-from gypsumwind.framing import BoundedReader, BoundedResponse
+from gypsumwind.framing import BoundedResponse
 from gypsumwind.tasks import Task
 from gypsumwind.utils import monotonic
 
@@ -89,41 +90,54 @@
 class TrackedConnection(HTTPConnection):
     """A connection with the scope and the deadline of its current request; a pool may reuse it.
 
-    `expired`: it was shut down at its deadline. `received`: the bytes of the last response. A pool
-    keeps it only while it is `reusable`. `requests`: the number of requests sent since it was
-    opened; `refused_id`: the id of the last of them that the server refused.
+    Scope and deadline hold until the request ends, by `end_request` or `close`. The library closes
+    the connection before that, and leaves its socket to the response, if the response ends with the
+    connection.
+
+    `expired`: it was shut down at its deadline; `aborted`: for that or another reason.
+    `received`: the bytes of the last response. A pool keeps it only while it is `reusable`.
+    `requests`: the number of requests sent since it was opened; `refused_id`: the id of the last of
+    them that the server refused.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.response_class = self._make_response  # type: ignore[assignment]
         self.expired = False
+        self.aborted = False
         self.reusable = True
         self.requests = 0
         self.refused_id = ""
         self.deadline: float | None = None
-        self._reader: BoundedReader | None = None
+        self._response: BoundedResponse | None = None
+        self._awaiting_head = False
+        self._body_sock: socket.socket | None = None
+        self._body_file: socket.SocketIO | None = None
         self._scope: CancelScope | None = None
         self._scope_lock = threading.Lock()
 
     def _make_response(self, *args: Any, **kwargs: Any) -> BoundedResponse:
-        response = BoundedResponse(*args, **kwargs)
-        self._reader = response.reader
-        return response
+        self._response = BoundedResponse(*args, aborted=lambda: self.aborted, **kwargs)
+        return self._response
+
+    @property
+    def in_body(self) -> bool:
+        """Return whether the body of the last response was being read, and not a line of it."""
+        return self._response is not None and self._response.reader.in_body
 
     @property
     def received(self) -> int:
         """Return the number of bytes received in response to the last request."""
-        return self._reader.received if self._reader else 0
+        return self._response.reader.received if self._response else 0
 
     def request(self, *args: Any, **kwargs: Any) -> None:
         """Send a request under the scope and the deadline of the running thread."""
         scope, limit = _scope.get(), _limit.get()
-        self._reader = None
+        self._response = None
         self.reusable = True
         self.requests += 1
         with self._scope_lock:
-            self.expired = False
+            self.expired = self.aborted = False
             self._scope = scope
             self.deadline = limit[1] if limit else None
         if scope is not None:
@@ -132,33 +146,72 @@
             limit[0].track(self)
         super().request(*args, **kwargs)
 
+    def getresponse(self) -> HTTPResponse:  # type: ignore[override]
+        """Return the response once its head has arrived."""
+        self._awaiting_head = True
+        try:
+            return super().getresponse()
+        finally:
+            self._awaiting_head = False
+
+    def set_read_timeout(self, seconds: float) -> None:
+        """Set the timeout of each further read of the response."""
+        sock = self._socket_in_use()
+        if sock is not None:
+            sock.settimeout(seconds)
+
     def end_request(self) -> None:
         """Detach the connection from its scope and deadline after a request."""
         with self._scope_lock:
             self._scope = None
             self.deadline = None
+            held, self._body_file, self._body_sock = self._body_file, None, None
+        if held is not None:
+            held.close()
 
     def close(self) -> None:
         """Close the connection; it may be opened again."""
+        if self._awaiting_head and self.sock is not None:
+            self._hold_body_socket(self.sock)
+            super().close()
+            return
         self.end_request()
         self.requests = 0
         self.refused_id = ""
         super().close()
+        if self._response is not None:
+            self._response.close()
+
+    def _hold_body_socket(self, sock: socket.socket) -> None:
+        """Hold a socket that the library closes, lest its descriptor be reused before an abort."""
+        with self._scope_lock:
+            self._body_sock = sock
+            self._body_file = sock.makefile("rb", buffering=0)
+
+    def _socket_in_use(self) -> socket.socket | None:
+        return self._body_sock if self.sock is None else self.sock
 
     def abort_if_expired(self, now: float) -> None:
         """Shut the connection down if its deadline has passed."""
         with self._scope_lock:
-            if self.deadline is not None and now >= self.deadline and self.sock is not None:
-                self.expired = True
-                with suppress(OSError):
-                    self.sock.shutdown(socket.SHUT_RDWR)
+            if self.deadline is not None and now >= self.deadline:
+                self._shut_down(expired=True)
 
     def abort(self, scope: CancelScope) -> None:
         """Shut the connection down if it is still in use for this scope."""
         with self._scope_lock:
-            if self._scope is scope and self.sock is not None:
-                with suppress(OSError):
-                    self.sock.shutdown(socket.SHUT_RDWR)
+            if self._scope is scope:
+                self._shut_down()
+
+    def _shut_down(self, expired: bool = False) -> None:
+        """Shut the socket in use down; its reader then finds the flags set."""
+        sock = self._socket_in_use()
+        if sock is None:
+            return
+        self.aborted = True
+        self.expired = self.expired or expired
+        with suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
 
 
 class TrackedPool(HTTPConnectionPool):
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import urllib3
@@ -23,7 +24,9 @@
     """An instance of a service that logs what it runs, with faults that tests inject.
 
     `mode`: ok, shed, cut (runs, then closes without a response), short (half of the body), extra
-    (a second response), unsigned or fail (500). `headers` are sent with every response but a 421.
+    (a second response), endless (a body without a length that never ends, `head_start` bytes of it
+    at once), unsigned or fail (500).
+    `headers` are sent with every response but a 421.
     `arrivals` has the time of each request in `received`.
 
     A request whose path is in `deadly` crashes the instance, for `restart_s`; `crashes` has the
@@ -39,6 +42,7 @@
         self.service_time_s = service_time_s
         self.mode = "ok"
         self.headers = {}
+        self.head_start = 0
         self.ran = []
         self.received = []
         self.arrivals = []
@@ -86,11 +90,16 @@
             up.restart(up.restart_s)
             self.close_connection = True
             return
-        if not self._work(up, request):
-            return
+        if self._work(up, request):
+            self._answer_in_mode(up, request)
+
+    def _answer_in_mode(self, up, request):
         if up.mode == "cut":
             self.close_connection = True
             return
+        if up.mode == "endless":
+            self._send_endless_body(up, request)
+            return
         status = 500 if up.mode == "fail" else 200
         data = f"{up.name} {request}\n".encode() * 20
         self._answer(status, data, request, signed=up.mode != "unsigned", short=up.mode == "short")
@@ -131,6 +140,21 @@
             self.rfile.readline()
         return data if self.rfile.readline() else None
 
+    def _send_endless_body(self, up, request):
+        """Send bytes without end, slowly, until the caller closes the connection."""
+        self.close_connection = True
+        self.send_response(200)
+        self.send_header(SIGNATURE, f"signed.{request}")
+        self.send_header("Gypsumwind-Request-Id", request)
+        self.end_headers()
+        with suppress(OSError):
+            self.wfile.write(b"x" * up.head_start)
+            while True:
+                self.wfile.write(b"\x00\xff" * 8)
+                self.wfile.flush()
+                time.sleep(0.05)
+        up.cancelled.append(request)
+
     def _answer(self, status, data, request, headers=None, signed=True, short=False):
         self.send_response(status)
         instance_headers = self.server.standin.headers if status != 421 else {}
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -22,7 +22,7 @@
 from gypsumwind.errors import Code, RequestError, StoreError
 from gypsumwind.exchanges import Request, UpstreamClient, _parse_retry_after
 from gypsumwind.framing import MAX_FRAMING_BYTES
-from gypsumwind.hangups import HangupTask
+from gypsumwind.hangups import CancelScope, HangupTask, in_scope
 from gypsumwind.platform.headers import HEADERS, read_load
 from gypsumwind.senders import OutgoingRequest, Sender, Target
 from gypsumwind.stores import StoreClient
@@ -46,6 +46,16 @@
 }
 
 
+BODIES_WITHOUT_END = {
+    "no length": (OK + b"\r\n", b"x"),
+    "no length, HTTP/1.0": (OK.replace(b"/1.1", b"/1.0") + b"\r\n", b"x"),
+    "no length, a failure": (OK.replace(b"200 OK", b"500 Failed") + b"\r\n", b"x"),
+    "length, closing": (OK + b"Connection: close\r\nContent-Length: 999999999\r\n\r\n", b"x"),
+    "length, kept": (OK + b"Content-Length: 999999999\r\n\r\n", b"x"),
+    "chunks, closing": (CHUNKED[:-2] + b"Connection: close\r\n\r\n", b"8\r\nxxxxxxxx\r\n"),
+}
+
+
 @contextmanager
 def server(begin, more, pause_s):
     """Answer each request with `begin`, then with `more` until the client closes.
@@ -86,12 +96,14 @@
         yield task
 
 
-def send(hangups, address, repeatable=True, request="r", client=None):
+def send(
+    hangups, address, repeatable=True, request="r", client=None, deadline_s=DEADLINE_S, method="GET"
+):
     client = client or UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
     up = Upstream("i", 1, "s", address[0], address[1], "a1", 4)
     body = Body(SimpleNamespace(read=lambda size: b""), 0)
-    deadline = monotonic() + DEADLINE_S
-    req = Request(request, "GET", "/", {"host": "h"}, body, deadline, repeatable)
+    deadline = monotonic() + deadline_s
+    req = Request(request, method, "/", {"host": "h"}, body, deadline, repeatable)
     return client.send(up, req), deadline
 
 
@@ -250,6 +262,113 @@
         wait_for(lambda: closed)
 
 
+@pytest.mark.parametrize("kind", BODIES_WITHOUT_END)
+def test_body_without_end_is_aborted_at_the_deadline(hangups, kind):
+    """Guards against an answer that is never given up on, whose thread is lost (CONFIG)."""
+    with server(*BODIES_WITHOUT_END[kind], 0.02) as (address, closed):
+        sent, deadline = send(hangups, address)
+        ended = monotonic()
+        assert sent.answer is None and sent.error.verdict is Verdict.MAY_HAVE_RUN
+        # The deadline may also pass within the line of a chunk's size, which counts as a cut.
+        chunked = kind.startswith("chunks")
+        assert sent.outcome in ({Outcome.LATE, Outcome.CUT} if chunked else {Outcome.LATE})
+        wait_for(lambda: closed)
+    assert ended < deadline + 5.0
+
+
+@pytest.mark.parametrize("kind", BODIES_WITHOUT_END)
+def test_body_without_end_that_is_passed_on_is_never_complete(hangups, kind):
+    """The deadline passes while the caller already gets the body."""
+    with server(*BODIES_WITHOUT_END[kind], 0.0) as (address, closed):
+        sent, deadline = send(hangups, address)
+        with pytest.raises(RequestError), ended_on_exit(sent.answer):
+            for _ in sent.answer.chunks:
+                pass
+        ended = monotonic()
+        wait_for(lambda: closed)
+    assert ended < deadline + 5.0
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["flood", "trickle"])
+@pytest.mark.parametrize("kind", BODIES_WITHOUT_END)
+def test_body_without_end_is_aborted_when_its_caller_disconnects(hangups, kind, pause_s):
+    """So it is by a graceful shutdown, which cancels the same scope."""
+    scope = CancelScope()
+    ended = []
+
+    def run(address):
+        with in_scope(scope):
+            sent, _ = send(hangups, address, deadline_s=60.0)
+            if sent.answer is not None:
+                with pytest.raises(RequestError), ended_on_exit(sent.answer):
+                    for _ in sent.answer.chunks:
+                        pass
+            ended.append(sent.outcome)
+
+    with server(*BODIES_WITHOUT_END[kind], pause_s) as (address, closed):
+        thread = threading.Thread(target=run, args=(address,), daemon=True)
+        thread.start()
+        time.sleep(0.3)
+        assert not ended
+        scope.cancel()
+        wait_for(lambda: closed and ended)
+        thread.join()
+
+
+@pytest.mark.parametrize("begin", [b"", b"half"], ids=["no-byte", "half"])
+def test_body_without_a_length_that_stalls_is_not_complete_at_the_deadline(hangups, begin):
+    with server(OK + b"\r\n" + begin, b"", 0.0) as (address, closed):
+        sent, _ = send(hangups, address)
+        assert sent.answer is None and sent.error.verdict is Verdict.MAY_HAVE_RUN
+        wait_for(lambda: closed)
+
+
+@pytest.mark.parametrize("size", [0, 5, 1_000_000])
+def test_body_without_a_length_ends_with_its_connection(hangups, size):
+    with server(OK + b"\r\n" + b"x" * size, None, 0.0) as (address, _):
+        sent, _ = send(hangups, address)
+        assert b"".join(sent.answer.chunks) == b"x" * size
+        sent.answer.end(True)
+
+
+@pytest.mark.parametrize("kind", BODIES_WITHOUT_END)
+@pytest.mark.parametrize("write", [False, True], ids=["read", "write"])
+def test_store_call_whose_body_has_no_end_fails_at_its_timeout(hangups, kind, write):
+    """Also if all that is sent is a document, and then spaces."""
+    begin, more = BODIES_WITHOUT_END[kind]
+    with server(begin + b"{}", more.replace(b"x", b" "), 0.02) as ((ip, port), closed):
+        calls = StoreClient(f"http://{ip}:{port}", 0.3, deadlines=hangups)
+        with pytest.raises(StoreError) as failed:
+            if write:
+                calls.write("PUT", "/objects/x", {})
+            else:
+                calls.read("/objects/x")
+        code = Code.STORE_OUTCOME_UNKNOWN if write else Code.STORE_UNAVAILABLE
+        assert failed.value.code is code
+        wait_for(lambda: closed)
+
+
+@pytest.mark.parametrize("kind", BODIES_WITHOUT_END)
+def test_watch_whose_answer_an_outage_may_have_hit_ends_within_a_body_without_end(hangups, kind):
+    begin, more = BODIES_WITHOUT_END[kind]
+    scope = CancelScope()
+    failed = []
+
+    def watch(calls):
+        with pytest.raises(StoreError) as info, in_scope(scope), calls.outages.watching(scope):
+            calls.read("/objects/x", 60.0)
+        failed.append(info.value.code)
+
+    with server(begin, more, 0.02) as ((ip, port), closed):
+        calls = StoreClient(f"http://{ip}:{port}", 60.0, deadlines=hangups)
+        thread = threading.Thread(target=watch, args=(calls,), daemon=True)
+        thread.start()
+        time.sleep(0.3)
+        scope.cancel()
+        wait_for(lambda: failed and closed)
+        assert failed == [Code.STORE_HISTORY_GONE]
+
+
 @contextmanager
 def ended_on_exit(answer):
     try:
@@ -336,6 +455,26 @@
         assert used[0].sock is None
 
 
+@pytest.mark.parametrize("close", [b"", b"Connection: close\r\n"], ids=["kept", "closing"])
+@pytest.mark.parametrize(
+    ("method", "status", "length"),
+    [
+        ("HEAD", b"200 OK", b"Content-Length: 5\r\n"),
+        ("HEAD", b"200 OK", b""),
+        ("GET", b"204 No Content", b""),
+        ("GET", b"304 Not Modified", b""),
+    ],
+)
+def test_responses_without_a_body_follow_each_other(hangups, method, status, length, close):
+    response = OK.replace(b"200 OK", status) + length + close + b"\r\n"
+    client = UpstreamClient(ConnectionPool("127.0.0.1"), HEADERS, read_load, hangups)
+    with scripted_instance(response, response, response) as (address, ran):
+        for count in (1, 2, 3):
+            sent, _ = send(hangups, address, client=client, method=method)
+            assert sent.outcome == Outcome.OK and b"".join(sent.answer.chunks) == b""
+            assert len(ran) == count
+
+
 @given(text=st.text(max_size=20) | st.floats().map(str) | st.integers().map(str))
 def test_any_time_to_come_back_is_bounded(text):
     assert (
