DRAIN: a grace period only after an outage in which leases can have expired

Any failed call counted as an outage of the store: the feed's next answer began the grace period of 2 s for entries whose lease expired in it, at a delegate for all of its followers too, so an entry that was removed while the feed backed off stayed in use for the backoff, the read and 2 s more.

Ruled out: the backoff alone (0.15 to 0.45 s); removals kept by GracePeriodList without a grace period; followers that begin one of their own.

Fix: the pages remove an entry after three heartbeats of silence. A lease can have expired only if the store gave this VM no answer for that long less the renewal before it (OutageHistory, by heartbeatS of the settings; one object for all feeds of a VM, answers that a relay passes on count with their age). Short outages with less than a heartbeat between them are added up. The grace period ends 2 s after the store's first answer, for each feed. A feed whose watch was ended because another call noticed the outage has it too, which it had not. Restores (_detect_restore) are as before.

An instance whose heartbeats had failed before a shorter outage is no longer kept: it is out for up to 2 s, until it is listed again.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -17,6 +17,7 @@
 from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.isolation import IsolationNotice
+from gypsumwind.core.lapses import OutageHistory
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.rate_limits import RateLimit
@@ -172,6 +173,7 @@
         self._client = UpstreamClient(self._connections, names, read_load, self._hangups)
         self._names = names
         self._hub = RelayHub(self._initial_incarnation, CODECS, HIGH_RATE_FEEDS, eras)
+        self._outages = OutageHistory(steering.lease)
         self._feed_tasks: dict[str, FeedTask] = {}
 
     def __enter__(self) -> "DirectDaemon":
@@ -321,8 +323,8 @@
         cfg = self._cfg
         zone = ZoneView(cfg.vm, cfg.zone, self.snapshots)
         follow = PeerClient(cfg.ip, FOLLOW_TIMEOUT_S).follow
-        feed = RelayedFeed(name, store_feed, zone, self._hub, follow)
-        return FeedTask(name, feed, min_interval_s, put, self._rng, in_force)
+        feed = RelayedFeed(name, store_feed, zone, self._hub, follow, self._outages)
+        return FeedTask(name, feed, min_interval_s, put, self._rng, in_force, self._outages)
 
     def _put_rules(self, values: Mapping[str, Ruleset], version: Version, grace_s: float) -> None:
         """Publish rules under their own version, which a restore of the store does not lower."""
@@ -358,6 +360,7 @@
     def apply_steering(self, steering: SteeringSettings) -> None:
         """Apply changed steering settings; running requests are not affected."""
         self._steering = steering
+        self._outages.lease = steering.lease
         self._dispatch.tell(msg.SetSteering(steering))
 
     def ready(self) -> bool:
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from gypsumwind.core.lapses import EXPIRY_GRACE_S
+from gypsumwind.core.lapses import EXPIRY_GRACE_S, OutageHistory
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.log import Log
@@ -71,6 +71,7 @@
     `min_interval_s` is the minimum time between two calls; it batches frequent changes. `in_force`
     returns the version of the list in force, which a peer may have reported in an outage: a later
     answer replaces it, also if the feed itself saw no change. None if no list replaces a later one.
+    `outages` is shared by the feeds of a VM.
     """
 
     def __init__(
@@ -81,8 +82,10 @@
         publish: PublishSnapshot,
         rng: random.Random,
         in_force: Callable[[], Version] | None = None,
+        outages: OutageHistory | None = None,
     ) -> None:
         super().__init__(f"feed-{name}", min_interval_s)
+        self._outages = outages or OutageHistory()
         self._in_force = in_force
         self._published = Version()
         self._feed = feed
@@ -131,7 +134,9 @@
         self._last_answer_at = monotonic()
 
     def _apply(self, found: Changes, is_snapshot: bool) -> None:
-        self._handle_recovery()
+        self._outages.record_answer(monotonic() - found.age_s)
+        self._grace_until = max(self._grace_until, self._outages.grace_until)
+        self._log_recovery()
         restored = self._detect_restore(found.version.era)
         self._grace_until = max(self._grace_until, monotonic() + found.grace_s)
         self._log_decode_errors(found)
@@ -155,10 +160,10 @@
         """Return whether the list in force is later than the feed's last, and earlier than this."""
         return self._in_force is not None and self._published < self._in_force() < version
 
-    def _handle_recovery(self) -> None:
+    def _log_recovery(self) -> None:
         if self._store_unavailable:
-            log.info("store-regained", feed=self.name, silent_s=self._silent_s)
-            self._grace_until = monotonic() + EXPIRY_GRACE_S
+            grace_s = round(max(0.0, self._grace_until - monotonic()), 3)
+            log.info("store-regained", feed=self.name, silent_s=self._silent_s, grace_s=grace_s)
         self._store_unavailable = False
 
     def _detect_restore(self, era: int) -> bool:
@@ -188,6 +193,7 @@
         if not self._store_unavailable:
             log.warning("store-lost", feed=self.name, silent_s=self._silent_s, error=exc.message)
         self._store_unavailable = True
+        self._outages.record_failure()
         self._backoff_s = min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2 * self._backoff_s))
 
     def _log_decode_errors(self, found: Changes) -> None:
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from gypsumwind.core.delegates import RelayTree
-from gypsumwind.core.lapses import EXPIRY_GRACE_S
+from gypsumwind.core.lapses import OutageHistory
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
@@ -86,12 +86,19 @@
     A switch of the source starts with a full read, so that no change between the two is missed.
     The list is passed on as the source reports it, with the grace period in which entries may be
     missing after an outage of the store: a follower keeps the entries that it has, but restores
-    none that it has removed.
+    none that it has removed. `outages` is shared by the feeds of a VM.
     """
 
     def __init__(
-        self, name: str, store_feed: Feed, zone: ZoneView, hub: RelayHub, follow: Follow
+        self,
+        name: str,
+        store_feed: Feed,
+        zone: ZoneView,
+        hub: RelayHub,
+        follow: Follow,
+        outages: OutageHistory | None = None,
     ) -> None:
+        self._outages = outages or OutageHistory()
         self._name = name
         self._store_feed = store_feed
         self._zone = zone
@@ -168,6 +175,7 @@
             log.info("relay-skipped", feed=self._name, relay=vm, reason=reason)
             return None
         self._switch_source(vm)
+        self._outages.record_answer(monotonic() - update.age_s)
         self._cursor = (update.log, update.position)
         if is_relay:
             delay_s = max(0.0, monotonic() - polled_at - wait_s)
@@ -186,10 +194,11 @@
         except StoreError as exc:
             if exc.code is not Code.STORE_HISTORY_GONE:
                 self._store_unavailable = True
+                self._outages.record_failure()
             raise
-        if self._store_unavailable:
-            self._store_unavailable = False
-            self._hub.extend_grace(self._name, EXPIRY_GRACE_S)
+        self._store_unavailable = False
+        self._outages.record_answer(monotonic())
+        self._hub.extend_grace(self._name, self._outages.grace_until - monotonic())
         changes = self._publish(found, is_snapshot, bool(found.values))
         self._hub.record_answer(self._name)
         return changes
--- a/gypsumwind/platform/settings.py
+++ b/gypsumwind/platform/settings.py
@@ -5,13 +5,12 @@
 from pathlib import Path
 from typing import Any
 
+from gypsumwind.core.lapses import Lease
 from gypsumwind.errors import SettingsError
 from gypsumwind.settings import SETTING_BY_NAME, Settings, read_settings
 from gypsumwind.steering import SteeringSettings
 from gypsumwind.utils import split_address
 
-Address = tuple[str, int]
-
 GOSSIP_S = "1"
 """Gossip interval, in seconds: in direct mode records carry the configuration, not loads."""
 
@@ -19,25 +18,24 @@
 """Concurrent requests: three seconds of the peak load planned for one VM."""
 
 
+MISSED_HEARTBEATS = 3
+"""Heartbeats that an instance has missed when the platform removes its entry."""
+
+
 @dataclass(slots=True, frozen=True)
 class PlatformSettings:
     """The settings of a process: the project's own ones, and the addresses that it serves."""
 
     cfg: Settings
     steering: SteeringSettings
-    readiness: Address
-    directory: Address
-    control: Address
+    readiness: tuple[str, int]
+    directory: tuple[str, int]
+    control: tuple[str, int]
 
     def restart_only(self) -> dict[str, object]:
         """Return the settings that only a restart changes, by the project's own names."""
-        values = {name: getattr(self.cfg, name) for name in SETTING_BY_NAME}
-        return {
-            **values,
-            "readiness": self.readiness,
-            "directory": self.directory,
-            "control": self.control,
-        }
+        pages = {"readiness": self.readiness, "directory": self.directory, "control": self.control}
+        return {**{name: getattr(self.cfg, name) for name in SETTING_BY_NAME}, **pages}
 
     def changed_restart_only(self, other: "PlatformSettings") -> list[str]:
         """Return the names of restart-only settings that differ."""
@@ -108,6 +106,7 @@
             cold_slack_per_s=self._get("bounds.coldSlack", float),
             grace_s=self._get("bounds.graceS", float),
             lookup_ttl_s=self._get("platform.ttlMinS", float, "1"),
+            lease=self._get("heartbeatS", lambda s: Lease(float(s), MISSED_HEARTBEATS), "0"),
         )
 
     def _zones(self) -> dict[str, str]:
@@ -143,5 +142,5 @@
     return int(first), int(last)
 
 
-def _seeds(text: str) -> list[Address]:
+def _seeds(text: str) -> list[tuple[str, int]]:
     return [split_address(part.strip()) for part in text.split(",") if part.strip()]
--- a/gypsumwind/steering.py
+++ b/gypsumwind/steering.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from gypsumwind.core.lapses import Lease
+
 
 @dataclass(slots=True, frozen=True)
 class SteeringSettings:
@@ -11,6 +13,7 @@
     Retries to a service stay under `retry_ratio` of its requests plus `retry_headroom` in any
     `retry_window_s`, over all VMs; requests to a cold instance under its own rate times
     `cold_overshoot` plus `cold_slack_per_s`. A graceful shutdown may take `grace_s`.
+    `lease` is that of the instances' entries.
     """
 
     regions: Mapping[str, str]
@@ -21,6 +24,7 @@
     cold_slack_per_s: float
     grace_s: float
     lookup_ttl_s: float
+    lease: Lease = Lease()
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/integration/test_lost_answers.py
+++ b/tests/integration/test_lost_answers.py
@@ -192,3 +192,37 @@
     change_route(fleet)
     fleet.store.loses = lambda ip, kind: False
     wait_until(lambda: statuses(fleet, "/new/x") == {200}, timeout=UP_TO_DATE_S)
+
+
+@fleets
+def test_instance_removed_after_a_watch_was_cut_off_is_not_kept(fleet):
+    """Guards against a grace period for lapsed entries after any failed call (DRAIN)."""
+    update_lists(fleet)
+    before = {vm.name: len(vm.log_path.read_text()) for vm in fleet.vms.values()}
+    fleet.store.cut_watches()
+    fleet.store.remove("servers", "i-1")
+    for vm in fleet.vms.values():
+        wait_until(
+            lambda vm=vm: "removed=['i-1']" in vm.log_path.read_text()[before[vm.name] :],
+            timeout=8,
+            text=f"{vm.name} no longer uses the instance",
+        )
+    logs = "".join(vm.log_path.read_text()[before[vm.name] :] for vm in fleet.vms.values())
+    assert "store-lost" in logs and "kept=['i-1']" not in logs
+
+
+@fleets
+def test_instance_whose_lease_expired_in_an_outage_is_kept(fleet):
+    """The outage lasts as long as leases, but for one renewal."""
+    update_lists(fleet)
+    before = {vm.name: len(vm.log_path.read_text()) for vm in fleet.vms.values()}
+    fleet.store.set_mode("reset")
+    time.sleep(3.0)
+    fleet.store.remove("servers", "i-1")
+    fleet.store.set_mode("ok")
+    for vm in fleet.vms.values():
+        wait_until(
+            lambda vm=vm: "kept=['i-1']" in vm.log_path.read_text()[before[vm.name] :],
+            timeout=8,
+            text=f"{vm.name} keeps the instance for the grace period",
+        )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,6 @@
 import pytest
 
+from gypsumwind.core.lapses import Lease
 from gypsumwind.errors import SettingsError
 from gypsumwind.platform.settings import read_platform_settings
 from tests.standins.platform import settings_lines
@@ -40,3 +41,15 @@
 def test_missing_file_is_a_settings_error(tmp_path):
     with pytest.raises(SettingsError, match="cannot be read"):
         read_platform_settings(str(tmp_path / "none"))
+
+
+def test_lease_of_entries_lasts_three_heartbeats(tmp_path):
+    found = read_platform_settings(write(tmp_path, settings_lines("vm-1", "127.0.0.1")))
+    assert found.steering.lease == Lease(1.5, 3)
+
+
+@pytest.mark.parametrize("text", ["x", "nan", "-1", "inf"])
+def test_malformed_heartbeat_is_a_settings_error(tmp_path, text):
+    lines = [*settings_lines("vm-1", "127.0.0.1"), f"heartbeatS={text}"]
+    with pytest.raises(SettingsError, match="heartbeatS"):
+        read_platform_settings(write(tmp_path, lines))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -130,6 +130,7 @@
         "bounds.coldOvershoot=1.5",
         "bounds.coldSlack=5",
         "bounds.graceS=6",
+        "heartbeatS=1.5",
         f"platform.address={store}",
         "platform.ttlMinS=1",
     ]
@@ -149,6 +150,7 @@
         self.calls = 0
         self.calls_by_ip = Counter()
         self.delay_s = 0.0
+        self.cuts = 0
         self.loses = lambda ip, kind: False
         """Whether calls of a VM for a kind get no answer while their connections stay open."""
         self.era = 1
@@ -177,6 +179,12 @@
             self.history.append((self.revision, kind, obj, True))
             self.changed.notify_all()
 
+    def cut_watches(self):
+        """Cut off the waiting watches by closing their connections."""
+        with self.changed:
+            self.cuts += 1
+            self.changed.notify_all()
+
     def compact_history(self):
         """Answer 410 to watches that start before the current revision."""
         with self.changed:
@@ -225,10 +233,16 @@
             return {"items": items, "hasMore": len(names) > PAGE_SIZE, "at": self.revision}
 
     def watch(self, kind, after, wait_s):
-        """Wait for events of a kind; None if the history after that revision is not available."""
+        """Wait for events of a kind; None if the history after that revision is not available.
+
+        Raise ConnectionAbortedError if the watch is cut off.
+        """
         deadline = time.monotonic() + wait_s
         with self.changed:
+            cuts = self.cuts
             while True:
+                if cuts != self.cuts:
+                    raise ConnectionAbortedError
                 if after < self.oldest_revision or after > self.revision:
                     return None
                 found = [e for e in self.history if e[0] > after and e[1] == kind]
@@ -250,7 +264,11 @@
         if not self._available(store, kind):
             return
         if "watch" in query:
-            doc = store.watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+            try:
+                doc = store.watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+            except ConnectionAbortedError:
+                self.close_connection = True
+                return
             if self._available(store, kind):
                 self._json(410 if doc is None else 200, doc or {})
             return
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -7,7 +7,7 @@
 
 from gypsumwind import dispatchers, feeds
 from gypsumwind import messages as msg
-from gypsumwind.core.lapses import EXPIRY_GRACE_S
+from gypsumwind.core.lapses import EXPIRY_GRACE_S, Lease, OutageHistory
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.upstreams import Upstream, UpstreamList, upstreams_to_json
@@ -119,6 +119,41 @@
     assert vm.instance_ids == {"a"}
 
 
+@pytest.mark.parametrize("silence_s", [0.5, 2.0])
+@pytest.mark.parametrize("gone", [False, True], ids=["changes", "history-gone"])
+def test_entry_removed_after_a_watch_was_cut_off_is_dropped_at_once(clock, silence_s, gone):
+    """Guards against instances that left being used for a grace period (DRAIN)."""
+    left = Changes(upstreams("a"), at(2)) if gone else Changes({"b": None}, at(2))
+    results = [Changes(upstreams("a", "b"), at(1)), UNAVAILABLE, *[HISTORY_GONE] * gone, left]
+    vm = Vm("vm")
+    outages = OutageHistory(Lease(1.5, 3))
+    feed_task = FeedTask("t", ScriptedFeed(*results), 0.5, vm.put, random.Random(1), None, outages)
+    feed_task.step()
+    clock[0] += silence_s
+    for _ in results[1:]:
+        feed_task.step()
+    assert vm.instance_ids == {"a"}
+
+
+def test_entry_whose_lease_expired_is_kept_though_another_feed_noticed_the_outage(clock):
+    """The feed's own watch was ended when another call was answered after the outage."""
+    vm = Vm("vm")
+    outages = OutageHistory(Lease(1.5, 3))
+    results = [Changes(upstreams("a", "b"), at(1)), HISTORY_GONE, Changes(upstreams("a"), at(2))]
+    feed_task = FeedTask("t", ScriptedFeed(*results), 0.5, vm.put, random.Random(1), None, outages)
+    other, _ = make_task(ScriptedFeed(UNAVAILABLE, Changes({}, at(2))))
+    other._outages = outages
+    feed_task.step()
+    clock[0] += 3.0
+    other.step()
+    other.step()
+    feed_task.step()
+    feed_task.step()
+    assert vm.instance_ids == {"a", "b"}
+    clock[0] += EXPIRY_GRACE_S
+    assert vm.instance_ids == {"a"}
+
+
 def test_removal_without_an_outage_takes_effect_at_once(clock):
     feed_task, published = make_task(
         ScriptedFeed(Changes({"a": 1}, at(1)), Changes({"a": None}, at(2)))
