Health checks and probes end although a response never does

The checks of one step wait for each other, so that such an instance ends the checks of all others, and an isolated VM remains so until it answers a caller.

A check closes the connection after the head, which shows that the instance responds.

--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -190,7 +190,7 @@
             VmListWatch(cfg, snapshots, self._store, self._records),
             JoinTask(cfg, self._gossip, lambda: self._watch.loaded, self._joined),
             HoldsTask(cfg, snapshots, self._gate, self._metrics, self._joined, self._rng),
-            HealthTask(cfg, snapshots, self._gate),
+            HealthTask(cfg, snapshots, self._gate, self._hangups),
             DrainTask(self),
         ]
         for task in tasks:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -263,7 +263,7 @@
             spread,
             gossip,
             SpareTask(self._connections, cfg.ip),
-            IsolationTask(cfg, snapshots, self._dispatch, rng),
+            IsolationTask(cfg, snapshots, self._dispatch, rng, self._hangups),
             SweepTask(self._connections, heads, self._server, snapshots),
             JoinTask(cfg, gossip, lambda: snapshots.rules is not None, self._joined),
             *feed_tasks.values(),
--- a/gypsumwind/isolations.py
+++ b/gypsumwind/isolations.py
@@ -9,11 +9,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pykka
-import urllib3
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from gypsumwind import messages as msg
 from gypsumwind.core.upstreams import Upstream
+from gypsumwind.hangups import DeadlineTask, TrackedPool
 from gypsumwind.log import Log
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
@@ -24,12 +24,13 @@
 
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.5
+CHECK_DEADLINE_S = 2 * CHECK_TIMEOUT_S
+"""Longest time, in seconds, for the connection and the whole head of the response."""
+
 MAX_CHECK_S = 3 * CHECK_TIMEOUT_S
 """Time, in seconds, from which a check without any response is dropped: the process was paused, and
 what its instances sent meanwhile came too late for the timeout."""
 
-MAX_RESPONSE_BYTES = 4096
-
 MAX_CHECKS = 8
 """Instances checked at a time by a VM that suspects that it reaches none."""
 
@@ -41,9 +42,15 @@
     """Checks instances while this VM is isolated or suspects it."""
 
     def __init__(
-        self, cfg: Settings, snapshots: Snapshots, dispatch: pykka.ActorRef, rng: random.Random
+        self,
+        cfg: Settings,
+        snapshots: Snapshots,
+        dispatch: pykka.ActorRef,
+        rng: random.Random,
+        deadlines: DeadlineTask,
     ) -> None:
         super().__init__("isolation", CHECK_INTERVAL_S)
+        self._deadlines = deadlines
         self._cfg = cfg
         self._snapshots = snapshots
         self._dispatch = dispatch
@@ -105,15 +112,17 @@
     def _check(self, checked: Checked) -> bool | None:
         """Return whether an instance responds, None if it only accepts the connection in time."""
         up, path = checked
-        with urllib3.HTTPConnectionPool(
-            up.ip, up.port, source_address=(self._cfg.ip, 0), timeout=CHECK_TIMEOUT_S
-        ) as pool:
+        deadline = monotonic() + CHECK_DEADLINE_S
+        with (
+            TrackedPool(
+                up.ip, up.port, source_address=(self._cfg.ip, 0), timeout=CHECK_TIMEOUT_S
+            ) as pool,
+            self._deadlines.enforce(deadline),
+        ):
             try:
-                response = pool.request("GET", path, retries=False, preload_content=False)
-                response.read(MAX_RESPONSE_BYTES)
-                response.close()
+                pool.request("GET", path, retries=False, preload_content=False).close()
             except ReadTimeoutError:
                 return None
             except (HTTPError, OSError, ValueError):
-                return False
+                return None if monotonic() >= deadline else False
             return True
--- a/gypsumwind/probes.py
+++ b/gypsumwind/probes.py
@@ -10,11 +10,16 @@
 
 from gypsumwind import messages as msg
 from gypsumwind.core.table import Instance
+from gypsumwind.hangups import DeadlineTask, TrackedPool
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
+from gypsumwind.utils import monotonic
 
 PROBE_TIMEOUT_S = 0.5
+PROBE_DEADLINE_S = 2 * PROBE_TIMEOUT_S
+"""Longest time, in seconds, for the connection and the whole response."""
+
 WORKERS = 4
 MAX_RESPONSE_BYTES = 4096
 
@@ -22,14 +27,18 @@
 class HealthTask(Task):
     """Probes the health and load endpoints of each owned instance, once a period."""
 
-    def __init__(self, cfg: Settings, snapshots: Snapshots, gate: pykka.ActorRef) -> None:
+    def __init__(
+        self, cfg: Settings, snapshots: Snapshots, gate: pykka.ActorRef, deadlines: DeadlineTask
+    ) -> None:
         super().__init__("health", cfg.health_s)
+        self._deadlines = deadlines
         self._cfg = cfg
         self._snapshots = snapshots
         self._gate = gate
         self._pool = urllib3.PoolManager(
             retries=False, num_pools=200, source_address=(cfg.ip, 0), timeout=PROBE_TIMEOUT_S
         )
+        self._pool.pool_classes_by_scheme = {"http": TrackedPool}
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="health")
         self._last_held: set[str] = set()
 
@@ -68,9 +77,10 @@
         if not path:
             return None
         try:
-            answer = self._pool.request(
-                "GET", f"http://{inst.address}{path}", preload_content=False
-            )
+            with self._deadlines.enforce(monotonic() + PROBE_DEADLINE_S):
+                answer = self._pool.request(
+                    "GET", f"http://{inst.address}{path}", preload_content=False
+                )
             try:
                 return json.loads(answer.read(MAX_RESPONSE_BYTES))
             finally:
--- a/tests/test_isolations.py
+++ b/tests/test_isolations.py
@@ -11,8 +11,10 @@
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.versions import Version
+from gypsumwind.hangups import HangupTask
 from gypsumwind.isolations import MAX_CHECK_S, MAX_CHECKS, IsolationTask
 from tests.standins.steered import Instance
+from tests.test_exchanges import BODIES_WITHOUT_END, UNBOUNDED, server, wait_for
 
 ZONES = ["a1", "a2", "b1", "b2", "c1"]
 
@@ -27,7 +29,7 @@
     return Upstream(name, 1, "s", "127.0.0.1", port, zone, 4, **values)
 
 
-def make_task(upstreams, suspected=True):
+def make_task(upstreams, suspected=True, deadlines=None):
     snapshots = SimpleNamespace(
         rules=SimpleNamespace(services={"s": ServicePolicy("s", "/health", 10, 3.0, 5.0)}),
         upstreams=UpstreamList(Version(), {up.id: up for up in upstreams}),
@@ -37,7 +39,8 @@
     )
     cfg = SimpleNamespace(vm="vm-1", zone="a1", ip="127.0.0.1")
     dispatch = Dispatch()
-    return IsolationTask(cfg, snapshots, dispatch, random.Random(1)), dispatch
+    deadlines = deadlines or HangupTask()
+    return IsolationTask(cfg, snapshots, dispatch, random.Random(1), deadlines), dispatch
 
 
 def test_instances_of_all_open_zones_are_checked_and_of_this_vm_s_zone_first():
@@ -97,3 +100,15 @@
     monkeypatch.setattr(task, "_check", check)
     task.step()
     assert not dispatch
+
+
+@pytest.mark.parametrize("kind", {**UNBOUNDED, **BODIES_WITHOUT_END})
+def test_check_of_an_instance_whose_response_never_ends_is_over(kind):
+    """Guards against a VM that remains isolated as its check waits for ever."""
+    begin, more = {**UNBOUNDED, **BODIES_WITHOUT_END}[kind]
+    with server(begin, more, 0.02) as (address, closed), HangupTask() as deadlines:
+        task, dispatch = make_task([upstream("i-1", port=address[1])], deadlines=deadlines)
+        task.step()
+        has_head = b"\r\n\r\n" in begin
+        assert dispatch == [msg.ConnectionsChecked(True, has_head)]
+        wait_for(lambda: closed)
