GONE: a caller that disconnects within a large answer ends it at its instance

Seen in a test by real processes: an answer of over 256 KB is passed on while it comes; its caller disconnects, and the VM reads on, in pieces of 64 KB, until the deadline or the next write. An instance that sends slowly is at work all that time, and the VM's thread and place in flight are taken.

Cause: the instance's connection is in the cancellation scope of the search for an answer, which was no longer watched once the head had arrived; while the answer was written, another scope was watched that held no connection.

Ruled out: the write to the caller, which ends the request at the next piece: it is the read that waits.

Fix: the scope is kept with the result and watched while the answer is written.

--- a/gypsumwind/fronts.py
+++ b/gypsumwind/fronts.py
@@ -33,9 +33,12 @@
 
 
 class RequestResult:
-    """The result of a request before it is written to its caller."""
+    """The result of a request before it is written to its caller.
 
-    __slots__ = ("arrived_at", "admitted", "rule", "verdict", "answer", "error")
+    `scope` cancels the rest of the answer, which may still be read while it is written.
+    """
+
+    __slots__ = ("arrived_at", "admitted", "rule", "verdict", "answer", "error", "scope")
 
     def __init__(self, arrived_at: float) -> None:
         self.arrived_at = arrived_at
@@ -44,6 +47,7 @@
         self.verdict = Verdict.MAY_HAVE_RUN
         self.answer: Answer | None = None
         self.error: RequestError | None = None
+        self.scope: CancelScope | None = None
 
 
 class ForwardingHandler:
@@ -81,7 +85,7 @@
         served: RequestResult = ex.early_result.result() if ex.early_result else self._serve(ex)
         code = "cut"
         try:
-            with self._hangups.cancel_on_hangup(ex.socket):
+            with self._hangups.cancel_on_hangup(ex.socket, scope=served.scope):
                 code = self._reply(ex, served)
         finally:
             self._release(served)
@@ -118,6 +122,7 @@
         try:
             rule = self._admit(ex, served)
             with self._hangups.cancel_on_hangup(ex.socket, ex.on_readable, scope) as watched:
+                served.scope = watched
                 self._scopes.add(watched)
                 try:
                     served.answer = self._forwarder.serve(ex, rule, served.arrived_at)
