--- a/gypsumwind/core/lapses.py
+++ b/gypsumwind/core/lapses.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import threading
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -31,53 +30,14 @@
             raise ValueError(f"{self.renewal_s} is not a time between renewals in seconds")
 
     @property
-    def min_outage_s(self) -> float:
-        """Return the length of the shortest outage in which a lease can expire, in seconds."""
-        return max(0.0, self.renewals - RENEWAL_SLACK) * self.renewal_s
-
-
-class OutageHistory:
-    """Outages of the store as one VM observes them, and whether leases can have expired in them.
-
-    A call may fail without an outage: the store may close a connection or cut off a waiting watch.
-    An entry that is removed right after that has left. Only an outage in which owners could not
-    renew their leases makes entries lapse; several short ones count together unless the store
-    answered for a whole renewal interval in between.
-    """
-
-    def __init__(self, lease: Lease = Lease()) -> None:
-        self.lease = lease
-        self._lock = threading.Lock()
-        self._answered_at = -math.inf
-        self._recovered_at = -math.inf
-        self._failing = False
-        self._silent_s = 0.0
-        self._grace_until = -math.inf
+    def max_renewal_s(self) -> float:
+        """Return the longest time between two renewals, in seconds."""
+        return RENEWAL_SLACK * self.renewal_s
 
     @property
-    def grace_until(self) -> float:
-        """Return until when entries whose lease expired in an outage may be missing."""
-        return self._grace_until
-
-    def record_failure(self) -> None:
-        """Record that a call to the store failed."""
-        with self._lock:
-            self._failing = True
-
-    def record_answer(self, at: float) -> None:
-        """Record that the store answered at a time, to this VM or to one that it follows."""
-        with self._lock:
-            if at < self._answered_at:
-                return
-            if self._failing:
-                self._failing = False
-                self._recovered_at = at
-                self._silent_s += at - self._answered_at
-                if self._silent_s >= self.lease.min_outage_s:
-                    self._grace_until = at + EXPIRY_GRACE_S
-            elif at - self._recovered_at >= RENEWAL_SLACK * self.lease.renewal_s:
-                self._silent_s = 0.0
-            self._answered_at = at
+    def min_outage_s(self) -> float:
+        """Return the length of the shortest outage in which a lease can expire, in seconds."""
+        return max(0.0, self.renewals * self.renewal_s - self.max_renewal_s)
 
 
 class GracePeriodList:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -17,7 +17,6 @@
 from gypsumwind.core.crashes import Finding
 from gypsumwind.core.departures import Departure
 from gypsumwind.core.isolation import IsolationNotice
-from gypsumwind.core.lapses import OutageHistory
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
 from gypsumwind.core.rate_limits import RateLimit
@@ -42,6 +41,7 @@
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
 from gypsumwind.metrics import Metrics
+from gypsumwind.outages import OutageHistory
 from gypsumwind.payloads import (
     CLOSED_ZONES_KEY,
     RATE_LIMIT_PREFIX,
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from gypsumwind.core.lapses import EXPIRY_GRACE_S, OutageHistory
+from gypsumwind.core.lapses import EXPIRY_GRACE_S
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.log import Log
+from gypsumwind.outages import OutageHistory
 from gypsumwind.tasks import Task
 from gypsumwind.utils import jittered, monotonic
 
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 from gypsumwind.core.delegates import RelayTree
-from gypsumwind.core.lapses import OutageHistory
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import MAX_LONG_POLL_S, Changes, Feed
 from gypsumwind.log import Log
+from gypsumwind.outages import OutageHistory
 from gypsumwind.peers import PeerError
 from gypsumwind.relays import FOLLOW_LONG_POLL_S, RELAY_MAX_STALENESS_S, RelayHub, RelayUpdate
 from gypsumwind.snapshots import Snapshots
--- a/tests/core/test_lapses.py
+++ b/tests/core/test_lapses.py
@@ -1,13 +1,10 @@
 """Entries whose lease may have expired in an outage: kept for the grace period, and no longer."""
 
-import math
-
-import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from gypsumwind.core.lapses import EXPIRY_GRACE_S, GracePeriodList, Lease, OutageHistory
+from gypsumwind.core.lapses import EXPIRY_GRACE_S, GracePeriodList
 
 NAMES = ("a", "b", "c")
 
@@ -29,65 +26,6 @@
     assert entries.expire(12.0) and not entries.values
 
 
-LEASE = Lease(1.5, 3)
-ANSWERS_S = 0.5
-
-
-def outages(*lengths, up_s=2.0):
-    """Return the history of outages with answers for `up_s` around each, and the last answer."""
-    history = OutageHistory(LEASE)
-    now = 100.0
-    for length in (0.0, *lengths):
-        if length:
-            now += length
-            history.record_failure()
-            history.record_answer(now)
-        up_until = now + up_s
-        while now < up_until:
-            now += ANSWERS_S
-            history.record_answer(now)
-    return history, now
-
-
-@pytest.mark.parametrize("length", [0.1, 1.0, 2.2])
-def test_call_that_fails_without_an_outage_starts_no_grace_period(length):
-    """Guards against instances that left being kept after a watch was cut off (DRAIN)."""
-    assert outages(length, length)[0].grace_until == -math.inf
-
-
-def test_outage_in_which_leases_can_expire_starts_a_grace_period_at_its_end():
-    history, now = outages(3.0, up_s=0.5)
-    assert history.grace_until == now - 0.5 + EXPIRY_GRACE_S
-
-
-def test_short_outages_in_a_row_count_together():
-    assert outages(2.0, 2.0, up_s=0.5)[0].grace_until > 0
-    assert outages(2.0, 2.0, up_s=2.0)[0].grace_until < 0
-
-
-def test_older_answer_passed_on_by_another_vm_does_not_end_an_outage():
-    history, now = outages()
-    history.record_failure()
-    history.record_answer(now - 1.0)
-    history.record_answer(now + 3.0)
-    assert history.grace_until == now + 3.0 + EXPIRY_GRACE_S
-
-
-def test_silence_without_a_failed_call_is_no_outage():
-    """A process that was paused."""
-    history, now = outages()
-    history.record_answer(now + 10.0)
-    assert history.grace_until == -math.inf
-
-
-def test_without_a_known_lease_any_failed_call_counts():
-    history = OutageHistory()
-    history.record_answer(5.0)
-    history.record_failure()
-    history.record_answer(5.0)
-    assert history.grace_until == 5.0 + EXPIRY_GRACE_S
-
-
 class Lapses(RuleBasedStateMachine):
     """Lists with and without an outage before them, in any order."""
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -7,7 +7,7 @@
 
 from gypsumwind import dispatchers, feeds
 from gypsumwind import messages as msg
-from gypsumwind.core.lapses import EXPIRY_GRACE_S, Lease, OutageHistory
+from gypsumwind.core.lapses import EXPIRY_GRACE_S, Lease
 from gypsumwind.core.membership import Endpoint, Member, State
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.upstreams import Upstream, UpstreamList, upstreams_to_json
@@ -15,6 +15,7 @@
 from gypsumwind.dispatchers import DispatchActor
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
+from gypsumwind.outages import OutageHistory
 from gypsumwind.payloads import UPSTREAMS_KEY
 from gypsumwind.records import RecordsActor
 from gypsumwind.snapshots import Snapshots
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -1,13 +1,15 @@
-"""Watches that an outage of the store may have hit are ended; no other one is."""
+"""What an outage of the store may have hit: watches, which are ended, and leases."""
 
+import math
 from contextlib import suppress
 
 import pytest
 
 from gypsumwind import outages
+from gypsumwind.core.lapses import EXPIRY_GRACE_S, Lease
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.hangups import CancelScope, in_scope
-from gypsumwind.outages import OutageGuard
+from gypsumwind.outages import OutageGuard, OutageHistory
 
 
 @pytest.fixture
@@ -80,3 +82,62 @@
         clock[0] += 0.1
         call(guard, clock, 0.1)
         assert not scope.cancelled
+
+
+LEASE = Lease(1.5, 3)
+ANSWERS_S = 0.5
+
+
+def history_of(*lengths, up_s=2.0):
+    """Return the history of outages with answers for `up_s` around each, and the last answer."""
+    history = OutageHistory(LEASE)
+    now = 100.0
+    for length in (0.0, *lengths):
+        if length:
+            now += length
+            history.record_failure()
+            history.record_answer(now)
+        up_until = now + up_s
+        while now < up_until:
+            now += ANSWERS_S
+            history.record_answer(now)
+    return history, now
+
+
+@pytest.mark.parametrize("length", [0.1, 1.0, 2.2])
+def test_call_that_fails_without_an_outage_starts_no_grace_period(length):
+    """Guards against instances that left being kept after a watch was cut off (DRAIN)."""
+    assert history_of(length, length)[0].grace_until == -math.inf
+
+
+def test_outage_in_which_leases_can_expire_starts_a_grace_period_at_its_end():
+    history, now = history_of(3.0, up_s=0.5)
+    assert history.grace_until == now - 0.5 + EXPIRY_GRACE_S
+
+
+def test_short_outages_in_a_row_count_together():
+    assert history_of(2.0, 2.0, up_s=0.5)[0].grace_until > 0
+    assert history_of(2.0, 2.0, up_s=2.0)[0].grace_until < 0
+
+
+def test_older_answer_passed_on_by_another_vm_does_not_end_an_outage():
+    history, now = history_of()
+    history.record_failure()
+    history.record_answer(now - 1.0)
+    history.record_answer(now + 3.0)
+    assert history.grace_until == now + 3.0 + EXPIRY_GRACE_S
+
+
+def test_silence_without_a_failed_call_is_no_outage():
+    """A process that was paused."""
+    history, now = history_of()
+    history.record_answer(now + 10.0)
+    assert history.grace_until == -math.inf
+
+
+def test_without_a_known_lease_any_failed_call_counts():
+    history = OutageHistory()
+    history.record_answer(5.0)
+    history.record_failure()
+    history.record_answer(5.0)
+    assert history.grace_until == 5.0 + EXPIRY_GRACE_S
