GONE: a connection that this VM aborts is reset, so that a server with a full window notices

Cause: the abort shuts the socket down and the reader drains what has arrived; the close then finds nothing unread, so no reset is sent, and the closed end does not answer the probes of the server's zero window until it is forgotten after a minute. The server, an instance that answers with more than the window, goes on waiting.

Ruled out: a reader that lasts (it ended within 0.07 s); a descriptor that stays open (ss names no process).

Fix: the abort also sets SO_LINGER to zero, so that the close resets the connection.

The tests that cancel a request wait until it has arrived.

--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -7,6 +7,7 @@
 import contextvars
 import select
 import socket
+import struct
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
@@ -23,6 +24,9 @@
 POLL_PERIOD_S = 0.1
 """Period in which callers' sockets are polled: a disconnect cancels well within half a second."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
 HANGUP_EVENTS = select.POLLIN | select.POLLRDHUP
 
 _scope: contextvars.ContextVar["CancelScope | None"] = contextvars.ContextVar("scope", default=None)
@@ -204,13 +208,18 @@
                 self._shut_down()
 
     def _shut_down(self, expired: bool = False) -> None:
-        """Shut the socket in use down; its reader then finds the flags set."""
+        """Shut the socket in use down; its reader then finds the flags set.
+
+        Its close resets the connection: a server that waits for room to send would not notice
+        another one for a minute.
+        """
         sock = self._socket_in_use()
         if sock is None:
             return
         self.aborted = True
         self.expired = self.expired or expired
         with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             sock.shutdown(socket.SHUT_RDWR)
 
 
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -6,7 +6,6 @@
 """
 
 import socket
-import struct
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 
 from cheroot.server import HTTPConnection, HTTPRequest, KnownLengthRFile
 
+from gypsumwind.hangups import RESET_ON_CLOSE
 from gypsumwind.heads import HeadRead, HeadTimeouts
 from gypsumwind.log import Log
 
@@ -29,9 +29,6 @@
 REQUEST_TIMEOUT = "408 Request Timeout"
 """Response to a head that was not complete in time: the request has not run."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close resets the connection."""
-
 Begin = Callable[["PipelinedRequest"], None]
 
 
--- a/tests/integration/test_restores.py
+++ b/tests/integration/test_restores.py
@@ -175,6 +175,7 @@
         return 200 in statuses
 
     backup = fleet.store.take_backup()
+    fleet.store.revision += 50
     fleet.store.put("evacuations", "a1", {})
     revision = fleet.store.revision
     wait_until(lambda: not reached(), text="all VMs have closed the zone")
@@ -186,6 +187,8 @@
             lambda vm=vm: "list-restored feed='feed-closed-zones'" in log_of(vm),
             text=f"{vm.name} detects the restore",
         )
+    wait_until(lambda: registered_vms(fleet) == set(fleet.vms), text="all VMs are registered again")
+    assert fleet.store.revision < revision
     fleet.store.revision = revision - 1
     fleet.store.put("evacuations", "a1", {})
     wait_until(lambda: not reached(), text="all VMs have closed the zone again")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -57,18 +57,21 @@
 
 
 @contextmanager
-def server(begin, more, pause_s):
+def server(begin, more, pause_s, arrived=None):
     """Answer each request with `begin`, then with `more` until the client closes.
 
     If `more` is empty, send nothing after `begin`; if it is None, close the connection after
-    `begin`. Yield the address, and the times at which connections were closed.
+    `begin`. Yield the address, and the times at which connections were closed; `arrived` gets the
+    times of the requests.
     """
     closed = []
+    arrived = [] if arrived is None else arrived
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve(sock):
         with sock, suppress(OSError):
             sock.recv(65536)
+            arrived.append(time.monotonic())
             sock.sendall(begin)
             while more:
                 sock.sendall(more if pause_s else more * 1000)
@@ -305,9 +308,11 @@
                         pass
             ended.append(sent.outcome)
 
-    with server(*BODIES_WITHOUT_END[kind], pause_s) as (address, closed):
+    arrived = []
+    with server(*BODIES_WITHOUT_END[kind], pause_s, arrived) as (address, closed):
         thread = threading.Thread(target=run, args=(address,), daemon=True)
         thread.start()
+        wait_for(lambda: arrived)
         time.sleep(0.3)
         assert not ended
         scope.cancel()
@@ -359,10 +364,12 @@
             calls.read("/objects/x", 60.0)
         failed.append(info.value.code)
 
-    with server(begin, more, 0.02) as ((ip, port), closed):
+    arrived = []
+    with server(begin, more, 0.02, arrived) as ((ip, port), closed):
         calls = StoreClient(f"http://{ip}:{port}", 60.0, deadlines=hangups)
         thread = threading.Thread(target=watch, args=(calls,), daemon=True)
         thread.start()
+        wait_for(lambda: arrived)
         time.sleep(0.3)
         scope.cancel()
         wait_for(lambda: failed and closed)
