--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -110,10 +110,7 @@
 
 def test_graceful_shutdown_ends_requests_whose_answers_never_end(fleet):
     vm = next(iter(fleet.vms.values()))
-    fleet.store.put("config", "main", platform.config(30, timeout_s=60))
-    wait_until(
-        lambda: "version=30" in log_of(vm), text="the rules with a long timeout are in force"
-    )
+    set_timeout(fleet, vm, 60)
     fleet.set_instances(mode="endless")
     with ThreadPoolExecutor(1) as pool:
         answer = pool.submit(
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -230,19 +230,23 @@
         wait_for(lambda: closed)
 
 
+def check_failing_store_call(hangups, ip, port, write):
+    """Check that a call fails at its timeout, and that a write then has an unknown outcome."""
+    calls = StoreClient(f"http://{ip}:{port}", 0.3, deadlines=hangups)
+    with pytest.raises(StoreError) as failed:
+        if write:
+            calls.write("PUT", "/objects/x", {})
+        else:
+            calls.read("/objects/x")
+    assert failed.value.code is (Code.STORE_OUTCOME_UNKNOWN if write else Code.STORE_UNAVAILABLE)
+
+
 @pytest.mark.parametrize("kind", UNBOUNDED)
 @pytest.mark.parametrize("write", [False, True], ids=["read", "write"])
 def test_store_call_with_unbounded_response_fails_at_its_timeout(hangups, kind, write):
     begin, more = UNBOUNDED[kind]
     with server(begin, more, 0.02) as ((ip, port), closed):
-        calls = StoreClient(f"http://{ip}:{port}", 0.3, deadlines=hangups)
-        with pytest.raises(StoreError) as failed:
-            if write:
-                calls.write("PUT", "/objects/x", {})
-            else:
-                calls.read("/objects/x")
-        code = Code.STORE_OUTCOME_UNKNOWN if write else Code.STORE_UNAVAILABLE
-        assert failed.value.code is code
+        check_failing_store_call(hangups, ip, port, write)
         wait_for(lambda: closed)
 
 
@@ -342,14 +346,7 @@
     """Also if all that is sent is a document, and then spaces."""
     begin, more = BODIES_WITHOUT_END[kind]
     with server(begin + b"{}", more.replace(b"x", b" "), 0.02) as ((ip, port), closed):
-        calls = StoreClient(f"http://{ip}:{port}", 0.3, deadlines=hangups)
-        with pytest.raises(StoreError) as failed:
-            if write:
-                calls.write("PUT", "/objects/x", {})
-            else:
-                calls.read("/objects/x")
-        code = Code.STORE_OUTCOME_UNKNOWN if write else Code.STORE_UNAVAILABLE
-        assert failed.value.code is code
+        check_failing_store_call(hangups, ip, port, write)
         wait_for(lambda: closed)
 
 
