--- a/gypsumwind/core/retry_budget.py
+++ b/gypsumwind/core/retry_budget.py
@@ -37,8 +37,18 @@
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
-        share = self._ratio * len(self._requests) + self._headroom / max(1, vms)
-        if len(self._retries) + 1 > share * SAFETY_FACTOR:
+        if len(self._retries) + 1 > self._allowed(vms):
             return False
         self._retries.append(now)
         return True
+
+    def evidence(self, vms: int) -> dict[str, float]:
+        """Return what the last decision rests on: counts of the window, and the retries allowed."""
+        return {
+            "requests": len(self._requests),
+            "retries": len(self._retries),
+            "allowed": round(self._allowed(vms), 1),
+        }
+
+    def _allowed(self, vms: int) -> float:
+        return SAFETY_FACTOR * (self._ratio * len(self._requests) + self._headroom / max(1, vms))
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -69,6 +69,7 @@
         self._snapshots = snapshots
         self._dispatcher = Dispatcher(steering.regions, self._fleet(), self._cold_bound(), rng)
         self._pending: dict[int, Future] = {}
+        self._started_at = monotonic()
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._instance_history = InstanceHistory()
         self._closed_zones = ClosedZones()
@@ -89,7 +90,7 @@
             case msg.SendFinished():
                 self._finish_send(message, now)
             case msg.TakeRetry():
-                return self._retry_budget(message.service).take(now, self._dispatcher.fleet.size)
+                return self._take_retry(message, now)
             case msg.EstimateWait():
                 return self._dispatcher.estimate_retry_after_s(message.service, now)
             case msg.Tick():
@@ -139,6 +140,20 @@
         if decision is not None:
             self._deliver(request.ticket, decision, now)
 
+    def _take_retry(self, message: msg.TakeRetry, now: float) -> bool:
+        budget, vms = self._retry_budget(message.service), self._dispatcher.fleet.size
+        granted = budget.take(now, vms)
+        log.info(
+            "retry-decided",
+            id=message.id,
+            service=message.service,
+            granted=granted,
+            vms=vms,
+            up_s=round(now - self._started_at, 1),
+            **budget.evidence(vms),
+        )
+        return granted
+
     def _finish_send(self, message: msg.SendFinished, now: float) -> None:
         up = message.upstream
         self._isolation.record_end(message.ticket, message.responded, now, message.connected)
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -229,6 +229,7 @@
             rule=rule.name,
             rules=rules.version if rules else 0,
             rules_age_s=round(rules_age_s, 3),
+            service=up.service,
             attempt=attempt,
             instance=up.id,
             zone=up.zone,
@@ -273,7 +274,7 @@
     def _may_retry(self, service: str, req: Request, ambiguous_error: RequestError | None) -> bool:
         if cancelled() or not req.body.replayable or (ambiguous_error and not req.repeatable):
             return False
-        return bool(msg.ask(self._dispatch, msg.TakeRetry(service)))
+        return bool(msg.ask(self._dispatch, msg.TakeRetry(service, req.id)))
 
     def _final_error(
         self, service: str, ambiguous_error: RequestError | None, last_error: RequestError
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -395,9 +395,13 @@
 
 @dataclass(slots=True, frozen=True)
 class TakeRetry:
-    """To the dispatch actor: take a retry from a service's retry budget; replies if allowed."""
+    """To the dispatch actor: take a retry from a service's retry budget; replies if allowed.
+
+    `id` is that of the request.
+    """
 
     service: str
+    id: str
 
 
 @dataclass(slots=True, frozen=True)
