A VM whose service never fails forgets the requests of earlier windows

Cause: the counts of the retry budget were expired only when a retry was asked for.

Evidence: the test counts 5,000 requests one second apart, of which 5,000 were kept; now ten.

--- a/gypsumwind/core/retry_budget.py
+++ b/gypsumwind/core/retry_budget.py
@@ -31,12 +31,11 @@
     def record_request(self, now: float) -> None:
         """Count the first attempt of a request."""
         self._requests.append(now)
+        self._expire(now)
 
     def take(self, now: float, vms: int) -> bool:
         """Grant one retry if the share of one of `vms` VMs allows it."""
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now - self._window_s:
-                times.popleft()
+        self._expire(now)
         if len(self._retries) + 1 > self._allowed(vms):
             return False
         self._retries.append(now)
@@ -50,5 +49,10 @@
             "allowed": round(self._allowed(vms), 1),
         }
 
+    def _expire(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] <= now - self._window_s:
+                times.popleft()
+
     def _allowed(self, vms: int) -> float:
         return SAFETY_FACTOR * (self._ratio * len(self._requests) + self._headroom / max(1, vms))
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -58,3 +58,10 @@
     assert sum(budget.take(0.0, 1) for _ in range(50)) == 8
     budget.set_bound(RATIO, 20.0, WINDOW_S)
     assert sum(budget.take(0.1, 1) for _ in range(50)) == 8
+
+
+def test_requests_of_earlier_windows_take_no_memory():
+    budget = FleetRetryBudget(RATIO, HEADROOM, WINDOW_S)
+    for n in range(5_000):
+        budget.record_request(float(n))
+    assert budget.evidence(1)["requests"] == WINDOW_S
