BUDGET: retries are paid by requests that the same process counted, so that no start grants them again

Cause: the budget was a sliding window over what a process remembers. It may send in a second what the requests of ten seconds allow; a process that starts has forgotten that, and so the requests, the ratio and the headroom of a window were used twice. The same when callers move from a VM that has spent its part to others.

Ruled out: a wrong number of VMs (vms is right in all lines); retries that wait (0.005 s on average).

Why this works: a token bucket that starts empty. A request adds 0.45 of the ratio, and what is saved is at most 0.45 of the ratio for the requests of the last window. In any window the retries are those saved at its begin and those added in it. Each request is counted by one process, so the bound needs no memory of another process.

The headroom is taken over ten seconds now, not in one call, which asks more.

--- a/gypsumwind/core/retry_budget.py
+++ b/gypsumwind/core/retry_budget.py
@@ -1,58 +1,88 @@
 """Retry budget of a fleet: each VM stays within its own share without coordination.
 
-A service may get `ratio` retries for each request of callers plus `headroom` in any window. A VM
-counts its own requests, and uses an equal share of the headroom.
+A service may get `ratio` retries for each request of callers plus `headroom` in any window. The
+budget of a VM is a token bucket that starts empty. A request adds a fraction of a retry, and so
+does time, for the VM's share of the headroom; what is saved is bounded by the requests of the last
+window and the share.
+
+In any window the retries are at most those saved at its begin and those added in it: fractions of
+the requests of the window before and of this one. Each request is counted by one process, so this
+holds however often VMs restart or are replaced, and wherever callers move: a process that has
+started has nothing saved that its predecessor may have used.
 """
 
 from collections import deque
+from dataclasses import dataclass
+
+EARNED_FACTOR = 0.45
+SAVED_FACTOR = 0.45
+"""Fraction of the ratio that each request adds, and the one that the requests of a window allow to
+be saved. Together they are less than 1."""
+
+EARNED_HEADROOM_FACTOR = 0.3
+SAVED_HEADROOM_FACTOR = 0.5
+"""The same of the headroom: the fraction that is added in a window, and the one that can be saved.
+VMs' views of the size of the fleet differ for a while."""
+
+
+@dataclass(slots=True, frozen=True)
+class RetryLimits:
+    """Limits of a service's retries in any window of `window_s` seconds, over all VMs."""
 
-SAFETY_FACTOR = 0.8
-"""Fraction of the share that is used: VMs' views of the size of the fleet differ for a while."""
+    ratio: float
+    headroom: float
+    window_s: float
 
 
 class FleetRetryBudget:
-    """Retries to one service from one VM, over a sliding window of `window_s` seconds."""
+    """Retries to one service from one VM, one of `vms`."""
 
-    __slots__ = ("_ratio", "_headroom", "_window_s", "_requests", "_retries")
+    __slots__ = ("_limits", "_requests", "_tokens", "_filled_at")
 
-    def __init__(self, ratio: float, headroom: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._headroom = headroom
-        self._window_s = window_s
+    def __init__(self, limits: RetryLimits, now: float) -> None:
+        self._limits = limits
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._tokens = 0.0
+        self._filled_at = now
 
-    def set_bound(self, ratio: float, headroom: float, window_s: float) -> None:
-        """Change the limits; retries already granted stay counted."""
-        self._ratio = ratio
-        self._headroom = headroom
-        self._window_s = window_s
+    def set_limits(self, limits: RetryLimits) -> None:
+        """Change the limits; retries already granted stay granted."""
+        self._limits = limits
 
-    def record_request(self, now: float) -> None:
+    def record_request(self, now: float, vms: int) -> None:
         """Count the first attempt of a request."""
         self._requests.append(now)
-        self._expire(now)
+        self._tokens += EARNED_FACTOR * self._limits.ratio
+        self._refill(now, vms)
 
     def take(self, now: float, vms: int) -> bool:
-        """Grant one retry if the share of one of `vms` VMs allows it."""
-        self._expire(now)
-        if len(self._retries) + 1 > self._allowed(vms):
+        """Grant one retry if there is a token for it."""
+        self._refill(now, vms)
+        if self._tokens < 1.0:
             return False
-        self._retries.append(now)
+        self._tokens -= 1.0
         return True
 
     def evidence(self, vms: int) -> dict[str, float]:
-        """Return what the last decision rests on: counts of the window, and the retries allowed."""
+        """Return what the last decision rests on; `requests` are those of the window."""
         return {
             "requests": len(self._requests),
-            "retries": len(self._retries),
-            "allowed": round(self._allowed(vms), 1),
+            "tokens": round(self._tokens, 2),
+            "capacity": round(self._capacity(vms), 1),
         }
 
-    def _expire(self, now: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now - self._window_s:
-                times.popleft()
+    def _refill(self, now: float, vms: int) -> None:
+        """Add the tokens of the time since the last call, up to the capacity."""
+        limits = self._limits
+        while self._requests and self._requests[0] <= now - limits.window_s:
+            self._requests.popleft()
+        share = limits.headroom / max(1, vms)
+        elapsed_s = max(0.0, now - self._filled_at)
+        self._tokens += EARNED_HEADROOM_FACTOR * share * elapsed_s / limits.window_s
+        self._tokens = max(0.0, min(self._tokens, self._capacity(vms)))
+        self._filled_at = now
 
-    def _allowed(self, vms: int) -> float:
-        return SAFETY_FACTOR * (self._ratio * len(self._requests) + self._headroom / max(1, vms))
+    def _capacity(self, vms: int) -> float:
+        limits = self._limits
+        by_requests = SAVED_FACTOR * limits.ratio * len(self._requests)
+        return by_requests + SAVED_HEADROOM_FACTOR * limits.headroom / max(1, vms)
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -23,7 +23,7 @@
 from gypsumwind.core.isolation import NOTICE_INTERVAL_S, IsolationDetector, IsolationNotice
 from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.restores import ClosedZones, InstanceHistory
-from gypsumwind.core.retry_budget import FleetRetryBudget
+from gypsumwind.core.retry_budget import FleetRetryBudget, RetryLimits
 from gypsumwind.core.rules import Ruleset
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.log import Log
@@ -117,7 +117,7 @@
             case msg.SetSteering():
                 self._steering = message.steering
                 for budget in self._retry_budgets.values():
-                    budget.set_bound(*self._retry_limits())
+                    budget.set_limits(self._retry_limits())
                 self._dispatcher.set_regions(message.steering.regions)
                 self._dispatcher.set_fleet(self._fleet(), self._cold_bound(), now)
                 self._sync(now)
@@ -125,7 +125,7 @@
     def _place(self, message: msg.PlaceRequest, now: float) -> None:
         request = message.request
         if not request.exclude:
-            self._retry_budget(request.service).record_request(now)
+            self._retry_budget(request.service).record_request(now, self._dispatcher.fleet.size)
         self._pending[request.ticket] = message.future
         if request.fingerprint in self._quarantined:
             self._deliver(request.ticket, self._refusal(request), now)
@@ -362,12 +362,13 @@
     def _cold_bound(self) -> ColdBound:
         return ColdBound(self._steering.cold_overshoot, self._steering.cold_slack_per_s)
 
-    def _retry_limits(self) -> tuple[float, float, float]:
+    def _retry_limits(self) -> RetryLimits:
         steering = self._steering
-        return steering.retry_ratio, steering.retry_headroom, steering.retry_window_s
+        return RetryLimits(steering.retry_ratio, steering.retry_headroom, steering.retry_window_s)
 
     def _retry_budget(self, service: str) -> FleetRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = self._retry_budgets[service] = FleetRetryBudget(*self._retry_limits())
+            budget = FleetRetryBudget(self._retry_limits(), self._started_at)
+            self._retry_budgets[service] = budget
         return budget
