BUDGET: a retry that waits for an instance takes up its token until it is sent

Cause: a grant was counted when the forwarder asked for it, though the retry may wait in the queue up to its deadline. One that was then refused or cancelled was spent, too.

Why this works: the ticket of a granted retry takes up room in the bucket until its placement is delivered, so nothing is saved again meanwhile; if it is refused, cancelled or overdue, its token is returned.

Tests: test_retries_that_wait_do_not_fall_into_one_window_with_a_second_batch fails if waiting retries take up no room, the two tests of withdrawn retries if their tokens are not returned.

--- a/gypsumwind/core/retry_budget.py
+++ b/gypsumwind/core/retry_budget.py
@@ -35,15 +35,19 @@
 
 
 class FleetRetryBudget:
-    """Retries to one service from one VM, one of `vms`."""
+    """Retries to one service from one VM, one of `vms`.
 
-    __slots__ = ("_limits", "_requests", "_tokens", "_filled_at")
+    A retry that waits for an instance takes up room in the bucket until it is sent.
+    """
+
+    __slots__ = ("_limits", "_requests", "_tokens", "_filled_at", "_waiting")
 
     def __init__(self, limits: RetryLimits, now: float) -> None:
         self._limits = limits
         self._requests: deque[float] = deque()
         self._tokens = 0.0
         self._filled_at = now
+        self._waiting: dict[int, float] = {}
 
     def set_limits(self, limits: RetryLimits) -> None:
         """Change the limits; retries already granted stay granted."""
@@ -55,31 +59,47 @@
         self._tokens += EARNED_FACTOR * self._limits.ratio
         self._refill(now, vms)
 
-    def take(self, now: float, vms: int) -> bool:
-        """Grant one retry if there is a token for it."""
+    def take(self, ticket: int, deadline: float, now: float, vms: int) -> bool:
+        """Grant one retry if there is a token for it.
+
+        It waits, until its deadline at the latest, for `record_sent` or `release`.
+        """
         self._refill(now, vms)
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
+        self._waiting[ticket] = deadline
         return True
 
+    def record_sent(self, ticket: int) -> None:
+        """Record that a waiting retry was sent."""
+        self._waiting.pop(ticket, None)
+
+    def release(self, ticket: int) -> None:
+        """Return the token of a waiting retry that is not sent."""
+        if self._waiting.pop(ticket, None) is not None:
+            self._tokens += 1.0
+
     def evidence(self, vms: int) -> dict[str, float]:
         """Return what the last decision rests on; `requests` are those of the window."""
         return {
             "requests": len(self._requests),
             "tokens": round(self._tokens, 2),
             "capacity": round(self._capacity(vms), 1),
+            "waiting": len(self._waiting),
         }
 
     def _refill(self, now: float, vms: int) -> None:
         """Add the tokens of the time since the last call, up to the capacity."""
         limits = self._limits
+        for ticket in [t for t, deadline in self._waiting.items() if deadline <= now]:
+            self.release(ticket)
         while self._requests and self._requests[0] <= now - limits.window_s:
             self._requests.popleft()
         share = limits.headroom / max(1, vms)
         elapsed_s = max(0.0, now - self._filled_at)
         self._tokens += EARNED_HEADROOM_FACTOR * share * elapsed_s / limits.window_s
-        self._tokens = max(0.0, min(self._tokens, self._capacity(vms)))
+        self._tokens = max(0.0, min(self._tokens, self._capacity(vms) - len(self._waiting)))
         self._filled_at = now
 
     def _capacity(self, vms: int) -> float:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from concurrent.futures import Future, InvalidStateError
+from concurrent.futures import InvalidStateError
 from typing import Any
 
 from gypsumwind import messages as msg
@@ -68,7 +68,7 @@
         self._steering = steering
         self._snapshots = snapshots
         self._dispatcher = Dispatcher(steering.regions, self._fleet(), self._cold_bound(), rng)
-        self._pending: dict[int, Future] = {}
+        self._pending: dict[int, msg.PlaceRequest] = {}
         self._started_at = monotonic()
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._instance_history = InstanceHistory()
@@ -85,8 +85,7 @@
             case msg.PlaceRequest():
                 self._place(message, now)
             case msg.CancelPlacement():
-                self._pending.pop(message.ticket, None)
-                self._dispatcher.cancel(message.ticket)
+                self._cancel(message.ticket)
             case msg.SendFinished():
                 self._finish_send(message, now)
             case msg.TakeRetry():
@@ -126,7 +125,7 @@
         request = message.request
         if not request.exclude:
             self._retry_budget(request.service).record_request(now, self._dispatcher.fleet.size)
-        self._pending[request.ticket] = message.future
+        self._pending[request.ticket] = message
         if request.fingerprint in self._quarantined:
             self._deliver(request.ticket, self._refusal(request), now)
             return
@@ -142,7 +141,7 @@
 
     def _take_retry(self, message: msg.TakeRetry, now: float) -> bool:
         budget, vms = self._retry_budget(message.service), self._dispatcher.fleet.size
-        granted = budget.take(now, vms)
+        granted = budget.take(message.ticket, message.deadline, now, vms)
         log.info(
             "retry-decided",
             id=message.id,
@@ -270,20 +269,31 @@
 
     def _deliver(self, ticket: int, decision: Decision, now: float) -> bool:
         """Deliver a decision; return False if no request waits for it and its slot is freed."""
-        future = self._pending.pop(ticket, None)
-        try:
-            if future is not None:
-                future.set_result(decision)
+        pending = self._pending.pop(ticket, None)
+        if pending is not None:
+            budget = self._retry_budget(pending.request.service)
+            try:
+                pending.future.set_result(decision)
                 if isinstance(decision, Placed):
                     self._isolation.record_send(ticket, decision.upstream.id, now)
+                    budget.record_sent(ticket)
                 return True
-        except InvalidStateError:
-            log.info("place-unwanted", ticket=ticket)
+            except InvalidStateError:
+                log.info("place-unwanted", ticket=ticket)
+            finally:
+                budget.release(ticket)
         if isinstance(decision, Placed):
             self._dispatcher.finish(decision.upstream, Outcome.CANCELLED, None, 0.0, now)
             return False
         return True
 
+    def _cancel(self, ticket: int) -> None:
+        """Forget a request that its caller no longer waits for."""
+        pending = self._pending.pop(ticket, None)
+        if pending is not None:
+            self._retry_budget(pending.request.service).release(ticket)
+        self._dispatcher.cancel(ticket)
+
     def _sync(self, now: float) -> None:
         snapshots = self._snapshots
         if snapshots.rules is not self._rules and snapshots.rules is not None:
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -117,10 +117,11 @@
         ambiguous_error: RequestError | None = None
         last_error: RequestError | None = None
         for attempt in range(1, rule.attempts + 1):
-            if attempt > 1 and not self._may_retry(service, req, ambiguous_error):
+            ticket = next(self._tickets)
+            if attempt > 1 and not self._may_retry(service, req, ambiguous_error, ticket):
                 break
             placement_request = PlacementRequest(
-                next(self._tickets),
+                ticket,
                 service,
                 key and f"{service}\x00{key}",
                 rule.priority,
@@ -135,7 +136,7 @@
             if isinstance(placed, RequestError):
                 last_error = last_error or placed
                 break
-            sent = self._send(placed, req, rule, attempt, placement_request.ticket)
+            sent = self._send(placed, req, rule, attempt, ticket)
             if sent.answer is not None and not self._should_retry_failure(sent, req, rule, attempt):
                 return sent.answer
             last_error = self._error_of(sent)
@@ -271,10 +272,12 @@
         text = f"the instance failed with {sent.answer.status}"
         return RequestError(Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
 
-    def _may_retry(self, service: str, req: Request, ambiguous_error: RequestError | None) -> bool:
+    def _may_retry(
+        self, service: str, req: Request, ambiguous_error: RequestError | None, ticket: int
+    ) -> bool:
         if cancelled() or not req.body.replayable or (ambiguous_error and not req.repeatable):
             return False
-        return bool(msg.ask(self._dispatch, msg.TakeRetry(service, req.id)))
+        return bool(msg.ask(self._dispatch, msg.TakeRetry(service, req.id, ticket, req.deadline)))
 
     def _final_error(
         self, service: str, ambiguous_error: RequestError | None, last_error: RequestError
--- a/gypsumwind/messages.py
+++ b/gypsumwind/messages.py
@@ -397,11 +397,13 @@
 class TakeRetry:
     """To the dispatch actor: take a retry from a service's retry budget; replies if allowed.
 
-    `id` is that of the request.
+    The retry is placed with this ticket, until the deadline. `id` is that of the request.
     """
 
     service: str
     id: str
+    ticket: int
+    deadline: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -1,5 +1,6 @@
 """The retry budget of a fleet: its bound holds in every window, whatever happens to the VMs."""
 
+import itertools
 from bisect import bisect_left
 
 import pytest
@@ -12,11 +13,18 @@
 
 RATIO, HEADROOM, WINDOW_S = 0.2, 64.0, 10.0
 LIMITS = RetryLimits(RATIO, HEADROOM, WINDOW_S)
+WAIT_S = 2.5
+"""Longest wait of a retry for an instance, in seconds."""
+
+tickets = itertools.count()
 
 
 def send(budget, now, vms):
     """Send a retry at once if it is granted; return whether it is."""
-    return budget.take(now, vms)
+    ticket = next(tickets)
+    granted = budget.take(ticket, now + WAIT_S, now, vms)
+    budget.record_sent(ticket)
+    return granted
 
 
 def send_all(budget, now, vms):
@@ -121,6 +129,31 @@
     assert send_all(budget, 1.0, 12) == 9
 
 
+def test_retries_that_wait_do_not_fall_into_one_window_with_a_second_batch():
+    """Guards against grants that count while they wait and not when they are sent (BUDGET)."""
+    budget = FleetRetryBudget(LIMITS, -1000.0)
+    waiting = list(itertools.takewhile(lambda n: budget.take(n, 2.5, 0.0, 1), itertools.count(1)))
+    assert len(waiting) == 32
+    assert send_all(budget, 2.4, 1) == 0
+    for ticket in waiting:
+        budget.record_sent(ticket)
+    assert send_all(budget, 2.4, 1) == 0
+    assert send_all(budget, 2.4 + WINDOW_S, 1) == 19
+
+
+@pytest.mark.parametrize("end, available", [("released", True), ("overdue", True), ("sent", False)])
+def test_only_a_retry_that_is_not_sent_is_available_again(end, available):
+    vms = HEADROOM / 2
+    budget = FleetRetryBudget(LIMITS, -1000.0)
+    assert budget.take(-1, 1.0, 0.0, vms)
+    assert not budget.take(-2, 1.0, 0.0, vms)
+    if end == "released":
+        budget.release(-1)
+    elif end == "sent":
+        budget.record_sent(-1)
+    assert budget.take(-3, 3.0, 1.0, vms) is available
+
+
 def test_requests_of_earlier_windows_take_no_memory():
     budget = FleetRetryBudget(LIMITS, 0.0)
     for n in range(5_000):
@@ -145,22 +178,34 @@
     def start(self, vms):
         self.now = 0.0
         self.budgets = [FleetRetryBudget(LIMITS, -1000.0) for _ in range(vms)]
-        self.requests, self.retries = [], []
+        self.requests, self.retries, self.waiting = [], [], []
 
     @rule(seconds=st.floats(0.01, 4.0))
     def pass_time(self, seconds):
         self.now += seconds
+        self.waiting = [w for w in self.waiting if w[2] > self.now]
 
-    @rule(vm=st.integers(0, 11), sent=st.integers(1, 60), fails=st.booleans())
-    def send_requests(self, vm, sent, fails):
+    @rule(vm=st.integers(0, 11), sent=st.integers(1, 60), fails=st.booleans(), waits=st.booleans())
+    def send_requests(self, vm, sent, fails, waits):
         budget, size = self.budgets[vm % len(self.budgets)], len(self.budgets)
         for _ in range(sent):
             budget.record_request(self.now, size)
             self.requests.append(self.now)
             for _ in range(2 * fails):
-                if not send(budget, self.now, size):
+                ticket, deadline = next(tickets), self.now + WAIT_S
+                if not budget.take(ticket, deadline, self.now, size):
                     break
+                self.waiting.append((budget, ticket, deadline))
+        if not waits:
+            self.place_retries()
+
+    @rule()
+    def place_retries(self):
+        for budget, ticket, _ in self.waiting:
+            if budget in self.budgets:
+                budget.record_sent(ticket)
                 self.retries.append(self.now)
+        self.waiting.clear()
 
     @rule(vms=st.sets(st.integers(0, 11)), everyone=st.booleans())
     def restart(self, vms, everyone):
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -40,8 +40,12 @@
 
 
 @pytest.fixture
-def actor(snapshots, connected):
-    steering = SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
+def steering():
+    return SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
+
+
+@pytest.fixture
+def actor(snapshots, connected, steering):
     cfg = SimpleNamespace(vm="vm-1", zone="a1")
     ref = DispatchActor.start(
         cfg,
@@ -55,9 +59,11 @@
     pykka.ActorRegistry.stop_all()
 
 
-def place(actor, ticket, fingerprint="f"):
+def place(actor, ticket, fingerprint="f", exclude=()):
     future = Future()
-    request = PlacementRequest(ticket, "s", "k", 1, 1e12, fingerprint=fingerprint)
+    request = PlacementRequest(
+        ticket, "s", "k", 1, 1e12, exclude=frozenset(exclude), fingerprint=fingerprint
+    )
     actor.ask(msg.PlaceRequest(request, future))
     return future
 
@@ -194,3 +200,22 @@
         actor.ask(cut)
     connected.update(up.port for up in ups)
     assert isinstance(place(actor, 1, "victim").result(1), Placed)
+
+
+def test_retry_takes_from_the_budget_when_it_is_sent_and_not_when_it_is_withdrawn(actor, steering):
+    actor.ask(msg.SetSteering(replace(steering, retry_headroom=0)))
+
+    def take(ticket):
+        return actor.ask(msg.TakeRetry("s", "r", ticket, 1e12))
+
+    requests = [place(actor, n) for n in range(12)]
+    assert sum(f.done() for f in requests) == 2
+    assert take(20) and not take(21)
+    withdrawn = place(actor, 20, exclude=["x"])
+    actor.ask(msg.CancelPlacement(20))
+    assert take(22) and not withdrawn.done()
+    retry = place(actor, 22, exclude=["x"])
+    for _ in requests:
+        finish_send(actor)
+    assert isinstance(retry.result(1), Placed)
+    assert not take(23)
