FAILBACK: a process that has just started sends nothing to cold instances for an interval

What operators could see: a cold instance that gets several times its rate in one second, when VMs restart within it (in a test, 30 requests of twelve VMs in 0.6 s, allowed 12.8).

Cause: the time of the last send to a cold instance is memory of a process, so that each start may send at once.

Fix: no send to a cold instance within the interval (1.1 s) from the start of the process, by which the predecessor's last one has passed. By then the VM has usually heard from its peers, too, whom it would otherwise not count among the senders.

Test: test_restarted_vms_do_not_send_to_a_cold_instance_again_within_the_second failed before.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -124,8 +124,15 @@
     """Assigns requests to instances, queues those without capacity, and tracks the results."""
 
     def __init__(
-        self, regions: Mapping[str, str], fleet: Fleet, cold_bound: ColdBound, rng: random.Random
+        self,
+        regions: Mapping[str, str],
+        fleet: Fleet,
+        cold_bound: ColdBound,
+        rng: random.Random,
+        started_at: float = -math.inf,
     ) -> None:
+        # The predecessor of this process may have sent to a cold instance just before it ended.
+        self._next_cold_send_at = started_at + MIN_SEND_INTERVAL_S
         self._zone = fleet.zone
         self._region = regions.get(fleet.zone, "")
         self._regions = regions
@@ -534,7 +541,7 @@
         """Return whether the instance is warm, or cold and this VM may send to it now."""
         if now >= inst.cold_until:
             return True
-        if now < inst.next_cold_send_at:
+        if now < max(inst.next_cold_send_at, self._next_cold_send_at):
             return False
         return self.fleet.vm in self._warmup_senders_of(inst)
 
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -67,9 +67,11 @@
         self._cfg = cfg
         self._steering = steering
         self._snapshots = snapshots
-        self._dispatcher = Dispatcher(steering.regions, self._fleet(), self._cold_bound(), rng)
-        self._pending: dict[int, msg.PlaceRequest] = {}
         self._started_at = monotonic()
+        self._dispatcher = Dispatcher(
+            steering.regions, self._fleet(), self._cold_bound(), rng, self._started_at
+        )
+        self._pending: dict[int, msg.PlaceRequest] = {}
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._instance_history = InstanceHistory()
         self._closed_zones = ClosedZones()
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -1,5 +1,6 @@
 """Placement decisions under load, simulated with a small model of instances."""
 
+import math
 import random
 
 import pytest
@@ -10,7 +11,7 @@
 from gypsumwind.core.instances import EJECT_S, Outcome, ReportedLoad
 from gypsumwind.core.rules import ServicePolicy
 from gypsumwind.core.upstreams import Upstream
-from gypsumwind.core.warmup import MIN_SEND_INTERVAL_S
+from gypsumwind.core.warmup import MIN_SEND_INTERVAL_S, warmup_senders
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 VMS = ("vm-1", "vm-2")
@@ -20,10 +21,9 @@
     return Upstream(name, 1, "s", "127.0.0.1", 1, zone, slots, **values)
 
 
-def make_dispatcher(upstreams, vm="vm-1", vms=VMS):
-    dispatcher = Dispatcher(
-        ZONES, Fleet(vm, "a1", vms, ("a1",)), ColdBound(1.5, 5.0), random.Random(1)
-    )
+def make_dispatcher(upstreams, vm="vm-1", vms=VMS, started_at=-math.inf):
+    fleet = Fleet(vm, "a1", vms, ("a1",))
+    dispatcher = Dispatcher(ZONES, fleet, ColdBound(1.5, 5.0), random.Random(1), started_at)
     dispatcher.policies = {"s": ServicePolicy("s", "/health", 100, 3.0, 5.2)}
     dispatcher.set_upstreams(upstreams, 0.0, 1000.0)
     return dispatcher
@@ -200,6 +200,21 @@
     assert dispatcher.instances[up.id].failure_rate == 0.0
 
 
+def test_restarted_vms_do_not_send_to_a_cold_instance_again_within_the_second():
+    """Guards against intervals of cold instances that a start forgets (FAILBACK)."""
+    cold, names = upstream("i1", cold_until=1003.0), tuple(f"vm-{n}" for n in range(12))
+    sent = []
+    for started_at in (0.0, 0.3, 0.6):
+        for vm in names:
+            dispatcher = make_dispatcher([cold], vm, names, started_at)
+            placed = dispatcher.place(request(1), started_at + 0.1)
+            sent += [started_at + 0.1] * isinstance(placed, Placed)
+            assert isinstance(dispatcher.place(request(2), started_at + 2.0), Placed) is (
+                vm in warmup_senders("i1", dispatcher.fleet, 5.2 * 1.5 + 5)
+            )
+    assert len(sent) <= 5.2 * 1.5 + 5
+
+
 def test_instances_of_a_reopened_zone_are_treated_as_cold():
     dispatcher = make_dispatcher([upstream("i1", zone="a2"), upstream("i2")])
     dispatcher.set_closed_zones(frozenset({"a2"}), 0.0)
