BUDGET: a process that does not know the size of the fleet yet gets nothing of the headroom

What operators could see: after a start of all VMs, each takes the part of the headroom that a lone VM of its zone would have.

Cause: the share is that of the VMs known at the moment, and a process learns them one by one.

Fix: time adds no tokens until the known VMs have not changed for two seconds.

The same commit reads firstStart: at the first start of the whole system no process ran before, so the budget begins full and no cold instance can have got a request.

Tests: without the pause, test_vm_that_learns_of_others_waits_before_it_uses_its_share_again fails.

--- a/gypsumwind/core/dispatch.py
+++ b/gypsumwind/core/dispatch.py
@@ -129,10 +129,10 @@
         fleet: Fleet,
         cold_bound: ColdBound,
         rng: random.Random,
-        started_at: float = -math.inf,
+        predecessor_until: float = -math.inf,
     ) -> None:
-        # The predecessor of this process may have sent to a cold instance just before it ended.
-        self._next_cold_send_at = started_at + MIN_SEND_INTERVAL_S
+        # A predecessor of this process may have sent to a cold instance just before it ended.
+        self._next_cold_send_at = predecessor_until + MIN_SEND_INTERVAL_S
         self._zone = fleet.zone
         self._region = regions.get(fleet.zone, "")
         self._regions = regions
--- a/gypsumwind/core/retry_budget.py
+++ b/gypsumwind/core/retry_budget.py
@@ -9,6 +9,8 @@
 the requests of the window before and of this one. Each request is counted by one process, so this
 holds however often VMs restart or are replaced, and wherever callers move: a process that has
 started has nothing saved that its predecessor may have used.
+
+Time adds nothing while a VM does not know the size of the fleet, as its share would be too large.
 """
 
 from collections import deque
@@ -24,6 +26,9 @@
 """The same of the headroom: the fraction that is added in a window, and the one that can be saved.
 VMs' views of the size of the fleet differ for a while."""
 
+FILL_WINDOWS = SAVED_HEADROOM_FACTOR / EARNED_HEADROOM_FACTOR
+"""Windows of time that add all of the headroom that can be saved."""
+
 
 @dataclass(slots=True, frozen=True)
 class RetryLimits:
@@ -37,22 +42,27 @@
 class FleetRetryBudget:
     """Retries to one service from one VM, one of `vms`.
 
-    A retry that waits for an instance takes up room in the bucket until it is sent.
+    Time adds tokens from `filled_at` on; -inf if no process can have used any before this one. A
+    retry that waits for an instance takes up room in the bucket until it is sent.
     """
 
     __slots__ = ("_limits", "_requests", "_tokens", "_filled_at", "_waiting")
 
-    def __init__(self, limits: RetryLimits, now: float) -> None:
+    def __init__(self, limits: RetryLimits, filled_at: float) -> None:
         self._limits = limits
         self._requests: deque[float] = deque()
         self._tokens = 0.0
-        self._filled_at = now
+        self._filled_at = filled_at
         self._waiting: dict[int, float] = {}
 
     def set_limits(self, limits: RetryLimits) -> None:
         """Change the limits; retries already granted stay granted."""
         self._limits = limits
 
+    def pause(self, until: float) -> None:
+        """Let time add no tokens until then."""
+        self._filled_at = max(self._filled_at, until)
+
     def record_request(self, now: float, vms: int) -> None:
         """Count the first attempt of a request."""
         self._requests.append(now)
@@ -97,10 +107,10 @@
         while self._requests and self._requests[0] <= now - limits.window_s:
             self._requests.popleft()
         share = limits.headroom / max(1, vms)
-        elapsed_s = max(0.0, now - self._filled_at)
-        self._tokens += EARNED_HEADROOM_FACTOR * share * elapsed_s / limits.window_s
+        windows = min(FILL_WINDOWS, max(0.0, now - self._filled_at) / limits.window_s)
+        self._tokens += EARNED_HEADROOM_FACTOR * share * windows
         self._tokens = max(0.0, min(self._tokens, self._capacity(vms) - len(self._waiting)))
-        self._filled_at = now
+        self._filled_at = max(self._filled_at, now)
 
     def _capacity(self, vms: int) -> float:
         limits = self._limits
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -271,7 +271,12 @@
         for task in tasks:
             enter(task)
         log.info(
-            "started", vm=cfg.vm, zone=cfg.zone, ip=cfg.ip, incarnation=self._initial_incarnation
+            "started",
+            vm=cfg.vm,
+            zone=cfg.zone,
+            ip=cfg.ip,
+            incarnation=self._initial_incarnation,
+            first_start=self._steering.first_start,
         )
 
     def _start_members(self, enter: Any) -> None:
--- a/gypsumwind/dispatchers.py
+++ b/gypsumwind/dispatchers.py
@@ -1,5 +1,6 @@
 """The actor that assigns requests to upstream instances in direct mode."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from concurrent.futures import InvalidStateError
@@ -37,6 +38,10 @@
 MAX_LOGGED_INSTANCES = 20
 """Instances that a log line names at most."""
 
+FLEET_SETTLE_S = 2.0
+"""Time without a change of the known VMs after which their number is taken for that of the fleet:
+a VM that has started learns them one by one."""
+
 ISOLATED_RETRY_S = 0.1
 """Retry-After, for a retry at another VM, while this one reaches no instance."""
 
@@ -68,8 +73,10 @@
         self._steering = steering
         self._snapshots = snapshots
         self._started_at = monotonic()
+        predecessor_until = -math.inf if steering.first_start else self._started_at
+        self._budgets_from = predecessor_until + FLEET_SETTLE_S
         self._dispatcher = Dispatcher(
-            steering.regions, self._fleet(), self._cold_bound(), rng, self._started_at
+            steering.regions, self._fleet(), self._cold_bound(), rng, predecessor_until
         )
         self._pending: dict[int, msg.PlaceRequest] = {}
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
@@ -120,7 +127,7 @@
                 for budget in self._retry_budgets.values():
                     budget.set_limits(self._retry_limits())
                 self._dispatcher.set_regions(message.steering.regions)
-                self._dispatcher.set_fleet(self._fleet(), self._cold_bound(), now)
+                self._set_fleet(self._fleet(), now)
                 self._sync(now)
 
     def _place(self, message: msg.PlaceRequest, now: float) -> None:
@@ -248,7 +255,7 @@
         self._step_isolation(now)
         fleet = self._fleet()
         if fleet != self._dispatcher.fleet:
-            self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
+            self._set_fleet(fleet, now)
         findings = self._crashes.step(wall())
         if findings:
             self._publish_health(findings)
@@ -371,6 +378,12 @@
         zones = {zone, *self._steering.regions}
         return Fleet(self._cfg.vm, zone, tuple(sorted(vms)), tuple(sorted(zones)))
 
+    def _set_fleet(self, fleet: Fleet, now: float) -> None:
+        if fleet != self._dispatcher.fleet:
+            for budget in self._retry_budgets.values():
+                budget.pause(now + FLEET_SETTLE_S)
+        self._dispatcher.set_fleet(fleet, self._cold_bound(), now)
+
     def _cold_bound(self) -> ColdBound:
         return ColdBound(self._steering.cold_overshoot, self._steering.cold_slack_per_s)
 
@@ -381,6 +394,6 @@
     def _retry_budget(self, service: str) -> FleetRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = FleetRetryBudget(self._retry_limits(), self._started_at)
+            budget = FleetRetryBudget(self._retry_limits(), self._budgets_from)
             self._retry_budgets[service] = budget
         return budget
--- a/gypsumwind/platform/settings.py
+++ b/gypsumwind/platform/settings.py
@@ -9,7 +9,7 @@
 from gypsumwind.errors import SettingsError
 from gypsumwind.settings import SETTING_BY_NAME, Settings, read_settings
 from gypsumwind.steering import SteeringSettings
-from gypsumwind.utils import split_address
+from gypsumwind.utils import parse_bool, split_address
 
 GOSSIP_S = "1"
 """Gossip interval, in seconds: in direct mode records carry the configuration, not loads."""
@@ -106,6 +106,7 @@
             cold_slack_per_s=self._get("bounds.coldSlack", float),
             grace_s=self._get("bounds.graceS", float),
             lookup_ttl_s=self._get("platform.ttlMinS", float, "1"),
+            first_start=self._get("firstStart", parse_bool, "false"),
             lease=self._get("heartbeatS", lambda s: Lease(float(s), MISSED_HEARTBEATS), "0"),
         )
 
--- a/gypsumwind/steering.py
+++ b/gypsumwind/steering.py
@@ -13,7 +13,8 @@
     Retries to a service stay under `retry_ratio` of its requests plus `retry_headroom` in any
     `retry_window_s`, over all VMs; requests to a cold instance under its own rate times
     `cold_overshoot` plus `cold_slack_per_s`. A graceful shutdown may take `grace_s`.
-    `lease` is that of the instances' entries.
+    `lease` is that of the instances' entries. At the `first_start` of the whole system no process
+    has run before this one.
     """
 
     regions: Mapping[str, str]
@@ -25,6 +26,7 @@
     grace_s: float
     lookup_ttl_s: float
     lease: Lease = Lease()
+    first_start: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/utils.py
+++ b/gypsumwind/utils.py
@@ -40,6 +40,13 @@
     return seconds * (0.5 + rng.random())
 
 
+def parse_bool(text: str) -> bool:
+    """Return whether a text is `true`; ValueError if it is not `false` either."""
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false")
+    return text == "true"
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split `ip:port`; ValueError names the invalid part."""
     host, _, port = text.rpartition(":")
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -129,6 +129,16 @@
     assert send_all(budget, 1.0, 12) == 9
 
 
+def test_time_adds_no_retries_while_a_vm_does_not_know_the_size_of_the_fleet():
+    """Guards against the share of a VM that has started and knows few others (BUDGET)."""
+    budget = FleetRetryBudget(LIMITS, 2.0)
+    assert send_all(budget, 1.9, 1) == 0
+    assert send_all(budget, 2.0 + WINDOW_S, 1) == 19
+    budget.pause(4.0 + WINDOW_S)
+    assert send_all(budget, 4.0 + WINDOW_S, 1) == 0
+    assert send_all(budget, 4.0 + 2 * WINDOW_S, 1) == 19
+
+
 def test_retries_that_wait_do_not_fall_into_one_window_with_a_second_batch():
     """Guards against grants that count while they wait and not when they are sent (BUDGET)."""
     budget = FleetRetryBudget(LIMITS, -1000.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,3 +53,21 @@
     lines = [*settings_lines("vm-1", "127.0.0.1"), f"heartbeatS={text}"]
     with pytest.raises(SettingsError, match="heartbeatS"):
         read_platform_settings(write(tmp_path, lines))
+
+
+@pytest.mark.parametrize("text, first", [("true", True), ("false", False)])
+def test_first_start_of_the_system_is_told_from_a_restart(tmp_path, text, first):
+    lines = [*settings_lines("vm-1", "127.0.0.1"), f"firstStart={text}"]
+    assert read_platform_settings(write(tmp_path, lines)).steering.first_start is first
+
+
+def test_start_of_an_unknown_kind_is_taken_for_a_restart(tmp_path):
+    lines = settings_lines("vm-1", "127.0.0.1")
+    lines = [line for line in lines if not line.startswith("firstStart")]
+    assert not read_platform_settings(write(tmp_path, lines)).steering.first_start
+
+
+def test_malformed_first_start_is_a_settings_error(tmp_path):
+    lines = [*settings_lines("vm-1", "127.0.0.1"), "firstStart=maybe"]
+    with pytest.raises(SettingsError, match="firstStart: 'maybe' is neither true nor false"):
+        read_platform_settings(write(tmp_path, lines))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -111,7 +111,7 @@
     }
 
 
-def settings_lines(vm, ip, zone="a1", store="127.0.0.1:9999", seeds=()):
+def settings_lines(vm, ip, zone="a1", store="127.0.0.1:9999", seeds=(), first_start=True):
     return [
         f"nodeName={vm}",
         f"ip={ip}",
@@ -124,6 +124,7 @@
         f"listen.directory={ip}:{DIRECTORY_PORT}",
         f"internalPorts={INTERNAL_PORT},{INTERNAL_PORT + 15}",
         "seeds=" + ",".join(f"{seed}:{CONTROL_PORT}" for seed in (seeds or (ip,))),
+        f"firstStart={str(first_start).lower()}",
         "bounds.retryBudgetRatio=0.2",
         "bounds.retryHeadroom=64",
         "bounds.budgetWindowS=10",
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -185,7 +185,8 @@
     def start(self, seeds=(), stdout=None):
         """Write the settings file and start the process; output goes to its log or to `stdout`."""
         seeds = seeds or [vm.ip for vm in self.fleet.vms.values()][:3] or [self.ip]
-        lines = settings_lines(self.name, self.ip, self.zone, self.fleet.store.address, seeds)
+        store, first_start = self.fleet.store.address, self.process is None
+        lines = settings_lines(self.name, self.ip, self.zone, store, seeds, first_start)
         self.path.write_text("\n".join(lines))
         env = {**os.environ, "GYPSUMWIND_SETTINGS": str(self.path)}
         with self.log_path.open("ab") as log:
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -18,7 +18,7 @@
 from gypsumwind.core.upstreams import Upstream, UpstreamList
 from gypsumwind.core.versions import Version
 from gypsumwind.dispatchers import DispatchActor
-from gypsumwind.snapshots import Snapshots
+from gypsumwind.snapshots import MembersView, Snapshots
 from gypsumwind.steering import SteeringSettings
 from gypsumwind.utils import wall
 
@@ -40,8 +40,10 @@
 
 
 @pytest.fixture
-def steering():
-    return SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1)
+def steering(request):
+    """Settings of a process that is restarted, or starts with the whole system if asked for."""
+    first_start = getattr(request, "param", False)
+    return SteeringSettings({"a1": "a"}, 0.2, 64, 10, 1.5, 5, 6, 1, first_start=first_start)
 
 
 @pytest.fixture
@@ -202,20 +204,43 @@
     assert isinstance(place(actor, 1, "victim").result(1), Placed)
 
 
+def take_retry(actor, ticket):
+    return actor.ask(msg.TakeRetry("s", "r", ticket, 1e12))
+
+
+@pytest.mark.parametrize("steering", [True, False], indirect=True)
+def test_only_a_process_without_a_predecessor_starts_with_a_retry_budget(actor, steering):
+    assert take_retry(actor, 20) is steering.first_start
+
+
+@pytest.mark.parametrize("steering", [True], indirect=True)
+def test_vm_that_learns_of_others_waits_before_it_uses_its_share_again(actor, steering, snapshots):
+    def set_headroom(retries):
+        actor.ask(msg.SetSteering(replace(steering, retry_headroom=retries)))
+
+    set_headroom(0)
+    assert not take_retry(actor, 20)
+    set_headroom(1e9)
+    assert take_retry(actor, 21)
+    other = replace(snapshots.members.local, vm="vm-2")
+    snapshots.members = MembersView(snapshots.members.local, {"vm-2": other}, {})
+    set_headroom(0)
+    assert not take_retry(actor, 22)
+    set_headroom(1e9)
+    assert not take_retry(actor, 23)
+
+
 def test_retry_takes_from_the_budget_when_it_is_sent_and_not_when_it_is_withdrawn(actor, steering):
     actor.ask(msg.SetSteering(replace(steering, retry_headroom=0)))
 
-    def take(ticket):
-        return actor.ask(msg.TakeRetry("s", "r", ticket, 1e12))
-
     requests = [place(actor, n) for n in range(12)]
     assert sum(f.done() for f in requests) == 2
-    assert take(20) and not take(21)
+    assert take_retry(actor, 20) and not take_retry(actor, 21)
     withdrawn = place(actor, 20, exclude=["x"])
     actor.ask(msg.CancelPlacement(20))
-    assert take(22) and not withdrawn.done()
+    assert take_retry(actor, 22) and not withdrawn.done()
     retry = place(actor, 22, exclude=["x"])
     for _ in requests:
         finish_send(actor)
     assert isinstance(retry.result(1), Placed)
-    assert not take(23)
+    assert not take_retry(actor, 23)
