--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -3,7 +3,7 @@
 The library bounds each line but not their number, so a server that sends unbounded lines blocks its
 reader whatever the timeout of a single read. The library also treats the end of the connection
 within a head as the end of the head, so a response truncated there would look complete. So would a
-body without a length whose connection this VM shuts down.
+body without a length whose connection was aborted: what ends it is known to the connection alone.
 """
 
 import io
@@ -21,11 +21,14 @@
 
 
 class _CountingRaw(io.RawIOBase):
-    """A raw stream that counts the bytes read from a socket; its end is an error once `aborted`."""
+    """A raw stream that counts the bytes read from a socket.
 
-    def __init__(self, raw: io.RawIOBase, aborted: Callable[[], bool]) -> None:
+    Its end is a ConnectionAbortedError if `abort_reason` returns a text.
+    """
+
+    def __init__(self, raw: io.RawIOBase, abort_reason: Callable[[], str]) -> None:
         self._raw = raw
-        self._aborted = aborted
+        self._abort_reason = abort_reason
         self.count = 0
 
     def readable(self) -> bool:
@@ -33,8 +36,8 @@
 
     def readinto(self, buffer: Any) -> int | None:
         size = self._raw.readinto(buffer)  # type: ignore[attr-defined]
-        if size == 0 and self._aborted():
-            raise ConnectionAbortedError("shut down before the end of its response")
+        if size == 0 and (reason := self._abort_reason()):
+            raise ConnectionAbortedError(reason)
         self.count += size or 0
         return size
 
@@ -46,12 +49,12 @@
 class BoundedReader(io.BufferedReader):
     """A reader whose lines may sum up to `MAX_FRAMING_BYTES` plus the bytes read otherwise.
 
-    `aborted`: whether this VM shut the connection down; its end is a ConnectionAbortedError then.
-    `in_body`: whether the last read was one of the body.
+    `abort_reason`: returns why the connection was aborted, empty if it was not; its end is a
+    ConnectionAbortedError if it was. `in_body`: whether the last read was one of the body.
     """
 
-    def __init__(self, raw: io.RawIOBase, aborted: Callable[[], bool]) -> None:
-        self._counter = _CountingRaw(raw, aborted)
+    def __init__(self, raw: io.RawIOBase, abort_reason: Callable[[], str]) -> None:
+        self._counter = _CountingRaw(raw, abort_reason)
         super().__init__(self._counter)
         self._budget = MAX_FRAMING_BYTES
         self.in_body = False
@@ -100,8 +103,8 @@
     """The library's response, read through a BoundedReader."""
 
     def __init__(
-        self, sock: Any, *args: Any, aborted: Callable[[], bool] = lambda: False, **kwargs: Any
+        self, sock: Any, *args: Any, abort_reason: Callable[[], str] = str, **kwargs: Any
     ) -> None:
         super().__init__(sock, *args, **kwargs)
-        self.reader = BoundedReader(self.fp.detach(), aborted)
+        self.reader = BoundedReader(self.fp.detach(), abort_reason)
         self.fp = self.reader
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -98,7 +98,9 @@
     the connection before that, and leaves its socket to the response, if the response ends with the
     connection.
 
-    `expired`: it was shut down at its deadline; `aborted`: for that or another reason.
+    `expired`: it was shut down at its deadline; `aborted`: for that or another reason. `reset`: the
+    server reset it while the request was written; a response that does not end with the connection
+    may still be whole.
     `received`: the bytes of the last response. A pool keeps it only while it is `reusable`.
     `requests`: the number of requests sent since it was opened; `refused_id`: the id of the last of
     them that the server refused.
@@ -109,6 +111,7 @@
         self.response_class = self._make_response  # type: ignore[assignment]
         self.expired = False
         self.aborted = False
+        self.reset = False
         self.reusable = True
         self.requests = 0
         self.refused_id = ""
@@ -121,9 +124,15 @@
         self._scope_lock = threading.Lock()
 
     def _make_response(self, *args: Any, **kwargs: Any) -> BoundedResponse:
-        self._response = BoundedResponse(*args, aborted=lambda: self.aborted, **kwargs)
+        self._response = BoundedResponse(*args, abort_reason=self._abort_reason, **kwargs)
         return self._response
 
+    def _abort_reason(self) -> str:
+        """Return why the connection's end is not that of a response, empty if it may be."""
+        if self.aborted:
+            return "shut down before the end of its response"
+        return "reset while its request was written" if self.reset else ""
+
     @property
     def in_body(self) -> bool:
         """Return whether the body of the last response was being read, and not a line of it."""
@@ -141,14 +150,19 @@
         self.reusable = True
         self.requests += 1
         with self._scope_lock:
-            self.expired = self.aborted = False
+            self.expired = self.aborted = self.reset = False
             self._scope = scope
             self.deadline = limit[1] if limit else None
         if scope is not None:
             scope.add(self)
         if limit is not None:
             limit[0].track(self)
-        super().request(*args, **kwargs)
+        try:
+            super().request(*args, **kwargs)
+        except (BrokenPipeError, ConnectionResetError):
+            # Callers may go on to read the response, whose reader no longer gets this error.
+            self.reset = True
+            raise
 
     def getresponse(self) -> HTTPResponse:  # type: ignore[override]
         """Return the response once its head has arrived."""
