--- a/tests/standins/raw.py
+++ b/tests/standins/raw.py
@@ -12,7 +12,6 @@
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.errors import Code, GypsumwindError, RequestError
 from gypsumwind.exchanges import Request, UpstreamClient
-from gypsumwind.hangups import HangupTask
 from gypsumwind.platform.headers import HEADERS, read_load
 from gypsumwind.probes import HealthTask
 from gypsumwind.senders import OutgoingRequest, Sender, Target
@@ -26,7 +25,7 @@
 @contextmanager
 def raw_server(serve):
     """Run `serve` with each accepted connection, in a thread of its own; yield the address."""
-    threads = []
+    socks = []
 
     def run(sock):
         with sock, suppress(OSError):
@@ -35,9 +34,8 @@
     def accept():
         with suppress(OSError):
             while True:
-                sock, _ = listener.accept()
-                threads.append(threading.Thread(target=run, args=(sock,), daemon=True))
-                threads[-1].start()
+                socks.append(listener.accept()[0])
+                threading.Thread(target=run, args=(socks[-1],), daemon=True).start()
 
     with socket.create_server(("127.0.0.1", 0)) as listener:
         acceptor = threading.Thread(target=accept, daemon=True)
@@ -47,8 +45,9 @@
         finally:
             listener.shutdown(socket.SHUT_RDWR)
             acceptor.join(10)
-    for thread in threads:
-        thread.join(10)
+            for sock in socks:
+                with suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
 
 
 def answering(answer):
@@ -168,10 +167,3 @@
     "page": read_as_page,
     "probe": read_as_probe,
 }
-
-
-@contextmanager
-def hangup_task():
-    """Yield the task that enforces deadlines."""
-    with HangupTask() as task:
-        yield task
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -19,6 +19,7 @@
     resetting,
     send_to_instance,
 )
+from tests.test_exchanges import wait_for
 
 NAMED = b"Gypsumwind-Request-Id: r\r\nGypsumwind-Response-Signature: s\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + NAMED
@@ -96,12 +97,12 @@
     def serve(sock):
         got.append(len(sock.recv(1)))
         sock.sendall(OK + framed)
-        while got[-1]:
-            got.append(len(sock.recv(1 << 20)))
+        while data := sock.recv(1 << 20):
+            got.append(len(data))
 
     with raw_server(serve) as address:
         assert read(address, hangups, request_body(UPLOAD_BYTES)) == b"whole"
-    assert sum(got) > UPLOAD_BYTES
+        wait_for(lambda: sum(got) > UPLOAD_BYTES)
 
 
 def test_body_without_a_length_of_an_early_answer_ends_with_an_ordinary_close(hangups):
