--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -20,6 +20,7 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, cancelled
 from gypsumwind.log import Log
+from gypsumwind.response_syntax import BODILESS_STATUSES
 from gypsumwind.steering import HeaderNames
 from gypsumwind.utils import monotonic, wall
 
@@ -47,7 +48,6 @@
 BROKEN_EXCHANGE = (HTTPException, HTTPError, OSError, ValueError)
 """Exceptions that a send without a whole response may raise."""
 
-BODILESS_STATUSES = frozenset((204, 304))
 NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
 SUPPRESSED_HEADERS = ("user-agent", "accept-encoding")
 """Headers that the client library would add by itself."""
--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -1,16 +1,25 @@
-"""Bounds the lines of a response outside its body: heads, interim responses, chunk sizes, trailers.
+"""Reads responses strictly: heads, interim responses, chunk sizes, trailers.
 
-The library bounds each line but not their number, so a server that sends unbounded lines blocks its
-reader whatever the timeout of a single read. The library also treats the end of the connection
-within a head as the end of the head, so a response truncated there would look complete. So would a
-body without a length whose connection was aborted: what ends it is known to the connection alone.
+Their syntax is that of `response_syntax`. The library bounds each line but not their number, so a
+server that sends unbounded lines blocks its reader whatever the timeout of a single read. The
+library also treats the end of the connection within a head as the end of the head, so a response
+truncated there would look complete. So would a body without a length whose connection was aborted:
+what ends it is known to the connection alone.
 """
 
 import io
 from collections.abc import Callable
-from http.client import HTTPException, HTTPResponse
+from http import HTTPStatus
+from http.client import HTTPException, HTTPMessage, HTTPResponse
 from typing import Any
 
+from gypsumwind.response_syntax import (
+    BODILESS_STATUSES,
+    ends_fields,
+    parse_field,
+    parse_status_line,
+)
+
 MAX_FRAMING_BYTES = 65536
 """Maximum bytes of the lines in one response outside its body; the library allows as much for one
 line."""
@@ -99,8 +108,8 @@
         return data
 
 
-class BoundedResponse(HTTPResponse):
-    """The library's response, read through a BoundedReader."""
+class StrictResponse(HTTPResponse):
+    """The library's response, read through a BoundedReader; a malformed one is an error."""
 
     def __init__(
         self, sock: Any, *args: Any, abort_reason: Callable[[], str] = str, **kwargs: Any
@@ -108,3 +117,32 @@
         super().__init__(sock, *args, **kwargs)
         self.reader = BoundedReader(self.fp.detach(), abort_reason)
         self.fp = self.reader
+
+    def begin(self) -> None:
+        """Read the head; MalformedResponseError or FramingError if it is malformed or too long."""
+        if self.headers is not None:
+            return
+        while True:
+            line = parse_status_line(self.reader.readline())
+            fields = self._read_fields()
+            if line.status != HTTPStatus.CONTINUE:
+                break
+        self.code = self.status = line.status
+        self.reason = line.reason
+        self.version = 11 if line.minor else 10
+        self.headers = self.msg = fields
+        self.chunked = fields.get("transfer-encoding", "").lower() == "chunked"
+        self.chunk_left = None
+        self.length = None
+        length = fields.get("content-length", "")
+        if length.isdecimal() and not self.chunked:
+            self.length = int(length)
+        if self._method == "HEAD" or line.status in BODILESS_STATUSES:
+            self.length = 0
+        self.will_close = self._check_close() or (not self.chunked and self.length is None)
+
+    def _read_fields(self) -> HTTPMessage:
+        fields = HTTPMessage()
+        while not ends_fields(line := self.reader.readline()):
+            fields.set_raw(*parse_field(line))
+        return fields
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -17,7 +17,7 @@
 from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.response import HTTPResponse
 
-from gypsumwind.framing import BoundedResponse
+from gypsumwind.framing import StrictResponse
 from gypsumwind.tasks import Task
 from gypsumwind.utils import monotonic
 
@@ -116,15 +116,15 @@
         self.requests = 0
         self.refused_id = ""
         self.deadline: float | None = None
-        self._response: BoundedResponse | None = None
+        self._response: StrictResponse | None = None
         self._awaiting_head = False
         self._body_sock: socket.socket | None = None
         self._body_file: socket.SocketIO | None = None
         self._scope: CancelScope | None = None
         self._scope_lock = threading.Lock()
 
-    def _make_response(self, *args: Any, **kwargs: Any) -> BoundedResponse:
-        self._response = BoundedResponse(*args, abort_reason=self._abort_reason, **kwargs)
+    def _make_response(self, *args: Any, **kwargs: Any) -> StrictResponse:
+        self._response = StrictResponse(*args, abort_reason=self._abort_reason, **kwargs)
         return self._response
 
     def _abort_reason(self) -> str:
--- /dev/null
+++ b/gypsumwind/response_syntax.py
@@ -0,0 +1,75 @@
+"""Syntax of the lines of HTTP/1.x responses, by the grammar of RFC 9110 and RFC 9112.
+
+The library parses a head as that of a mail: it drops the fields behind a malformed line and ignores
+a length that it cannot read, so that a malformed response passes for another, whole one.
+
+The messages of errors name what is malformed and quote none of it, since callers get them.
+"""
+
+import re
+from dataclasses import dataclass
+from http.client import HTTPException
+
+BODILESS_STATUSES = frozenset((204, 304))
+"""Statuses of final responses that have no body, whatever their fields."""
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+
+# A recipient may accept a line of a head that ends with LF alone, and a status line that ends
+# without the space before an empty reason (RFC 9112, sections 2.2 and 4).
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: (" + _TEXT + rb"))?\r?\n")
+_FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")\r?\n")
+_FIELD_NAME = re.compile(_TOKEN)
+
+
+class MalformedResponseError(HTTPException):
+    """A response violates the syntax of the protocol; the message names the part that does."""
+
+
+@dataclass(slots=True, frozen=True)
+class StatusLine:
+    """The status line of a response; `minor` is the minor version of the protocol."""
+
+    minor: int
+    status: int
+    reason: str
+
+
+def parse_status_line(line: bytes) -> StatusLine:
+    """Parse a status line with its line terminator; MalformedResponseError if it is malformed."""
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedResponseError("malformed status line")
+    minor, status, reason = match.groups(b"")
+    return StatusLine(int(minor), int(status), reason.decode("latin-1").strip())
+
+
+def parse_field(line: bytes) -> tuple[str, str]:
+    """Return the name and the value of a field line with its line terminator.
+
+    MalformedResponseError if it is malformed. A folded line is, too: a gateway may answer 502 for
+    it (RFC 9112, section 5.2).
+    """
+    match = _FIELD_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedResponseError(_field_fault(line))
+    name, value = match.groups()
+    return name.decode("ascii"), value.strip(b" \t").decode("latin-1")
+
+
+def ends_fields(line: bytes) -> bool:
+    """Return whether a line is the empty one that ends a head or trailers."""
+    return line in (b"\r\n", b"\n")
+
+
+def _field_fault(line: bytes) -> str:
+    """Return what is malformed in a field line."""
+    name, colon, _ = line.partition(b":")
+    if line[:1] in (b" ", b"\t"):
+        return "folded field line"
+    if not colon:
+        return "line without a colon among the fields"
+    if _FIELD_NAME.fullmatch(name) is None:
+        return "malformed field name"
+    return "malformed field value"
--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -22,11 +22,11 @@
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, TrackedPool, cancelled
+from gypsumwind.response_syntax import BODILESS_STATUSES
 from gypsumwind.utils import monotonic
 
 POOL_CONNECTIONS = 64
 CLIENT_CLOSED_STATUS = 499
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -5,11 +5,13 @@
 import pytest
 
 from gypsumwind import stores
+from gypsumwind.connections import ConnectionPool
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.exchanges import BUFFER_BYTES
 from gypsumwind.hangups import HangupTask
 from tests.standins.raw import (
+    READERS,
     answering,
     body_of,
     raw_server,
@@ -122,3 +124,138 @@
 def test_body_without_a_length_ends_with_an_ordinary_close(hangups, size):
     with raw_server(answering(OK + b"\r\n" + b"x" * size)) as address:
         assert read_as_instance(address, hangups) == b"x" * size
+
+
+DOC = b'{"state": "ok"}'
+LENGTH = b"Content-Length: %d\r\n" % len(DOC)
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+
+MALFORMED_LINES = {
+    "blank before the colon": b"X-A : 1",
+    "tab before the colon": b"X-A\t: 1",
+    "blank in a name": b"X A: 1",
+    "control byte in a name": b"X\x01A: 1",
+    "NUL in a name": b"X\x00A: 1",
+    "DEL in a name": b"X\x7fA: 1",
+    "byte above 127 in a name": b"X\xe9: 1",
+    "separator in a name": b"X(A): 1",
+    "no name": b": 1",
+    "no colon": b"nothing of the kind",
+    "folded": b" folded: 1",
+    "CR in a value": b"X-A: 1\rX-B: 1",
+    "NUL in a value": b"X-A: 1\x00",
+    "control byte in a value": b"X-A: 1\x1b",
+    "DEL in a value": b"X-A: 1\x7f",
+}
+
+MALFORMED_STATUS_LINES = {
+    "status 000": b"HTTP/1.1 000 OK",
+    "status 099": b"HTTP/1.1 099 OK",
+    "status 600": b"HTTP/1.1 600 OK",
+    "status of four digits": b"HTTP/1.1 2000 OK",
+    "status with a sign": b"HTTP/1.1 +200 OK",
+    "status with an underscore": b"HTTP/1.1 2_0 OK",
+    "status that is no number": b"HTTP/1.1 2x0 OK",
+    "control byte in the reason": b"HTTP/1.1 200 O\x01K",
+    "two blanks": b"HTTP/1.1  200 OK",
+    "HTTP/0.9": b"HTTP/0.9 200 OK",
+    "HTTP/1.x": b"HTTP/1.x 200 OK",
+    "HTTP/2.0": b"HTTP/2.0 200 OK",
+}
+
+MALFORMED_HEADS = {
+    **{
+        f"{name}, {place}": STATUS_LINE + before + line + b"\r\n" + after
+        for name, line in MALFORMED_LINES.items()
+        for place, before, after in (
+            ("first", b"", NAMED + LENGTH),
+            ("last", NAMED + LENGTH, b""),
+            ("last, no length", NAMED, b""),
+        )
+    },
+    **{n: line + b"\r\n" + NAMED + LENGTH for n, line in MALFORMED_STATUS_LINES.items()},
+}
+
+
+def check_broken(hangups, read, answer):
+    with raw_server(answering(answer)) as address:
+        assert read(address, hangups) is None
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", MALFORMED_HEADS)
+def test_answer_with_a_malformed_head_is_not_taken(hangups, read, name):
+    check_broken(hangups, read, MALFORMED_HEADS[name] + b"\r\n" + DOC)
+
+
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"413 Large", b"500 Failed"])
+@pytest.mark.parametrize("name", MALFORMED_LINES)
+def test_refusal_or_failure_with_a_malformed_head_tells_nothing(hangups, status, name):
+    """Neither that the request has not run, nor any signal of the instance."""
+    signals = b"Gypsumwind-Not-Executed: 1\r\nServer-Leaving: 1\r\nServer-Limit: 1\r\n"
+    signals += b"Retry-After: 1\r\nGypsumwind-Instance-Load: 1,0,4\r\nContent-Length: 0\r\n"
+    answer = STATUS_LINE.replace(b"200 OK", status) + NAMED + signals + MALFORMED_LINES[name]
+    with raw_server(answering(answer + b"\r\n\r\n")) as address:
+        sent = send_to_instance(address, hangups)
+    assert sent.outcome == Outcome.CUT and sent.error.verdict is Verdict.MAY_HAVE_RUN
+    assert (sent.leaving, sent.rate_limit, sent.pause_s) == (False, None, 0.0)
+    assert sent.reported_load is None and sent.responded
+
+
+def test_connection_of_a_malformed_answer_is_not_used_again(hangups):
+    connections = ConnectionPool("127.0.0.1")
+    requests = []
+
+    def serve(sock):
+        while sock.recv(65536):
+            requests.append(sock.fileno())
+            sock.sendall(OK + b"X A: 1\r\nContent-Length: 0\r\n\r\n")
+        requests.append("closed")
+
+    with raw_server(serve) as address:
+        sent = send_to_instance(address, hangups, connections=connections)
+        assert sent.answer is None and "malformed field name" in sent.error.message
+        wait_for(lambda: requests[1:] == ["closed"])
+
+
+SOUND_LINES = {
+    "every sign of a token": b"!#$%&'*+-.^_`|~09azAZ: 1",
+    "no blank": b"X-A:1",
+    "tabs": b"X-A:\t1\t",
+    "empty value": b"X-A:",
+    "colons in a value": b"X-A: a: b",
+    "bytes above 127": b"X-A: \x80\xe9\xff",
+    "LF alone": b"X-A: 1\nX-B: 1",
+}
+
+SOUND_STATUS_LINES = {
+    "HTTP/1.0": (b"HTTP/1.0 200 OK", 200),
+    "empty reason": (b"HTTP/1.1 200 ", 200),
+    "no reason": (b"HTTP/1.1 200", 200),
+    "599": (b"HTTP/1.1 599 Odd", 599),
+    "299": (b"HTTP/1.1 299 Odd", 299),
+}
+
+SOUND_HEADS = {
+    **{n: (STATUS_LINE + line + b"\r\n", 200) for n, line in SOUND_LINES.items()},
+    **{n: (line + b"\r\n", status) for n, (line, status) in SOUND_STATUS_LINES.items()},
+}
+
+
+@pytest.mark.parametrize("name", SOUND_HEADS)
+def test_sound_head_is_passed_on(hangups, name):
+    head, status = SOUND_HEADS[name]
+    with raw_server(answering(head + NAMED + LENGTH + b"\r\n" + DOC)) as address:
+        sent = send_to_instance(address, hangups)
+        assert sent.answer.status == status and body_of(sent.answer) == DOC
+        for read in READERS.values() if status == 200 else ():
+            assert read(address, hangups) is not None
+
+
+def test_value_of_a_field_is_passed_on_unchanged(hangups):
+    with raw_server(
+        answering(OK + b"X-A:\t \x80 \xff, a \t\r\n" + LENGTH + b"\r\n" + DOC)
+    ) as address:
+        answer = send_to_instance(address, hangups).answer
+        assert dict(answer.headers)["X-A"].encode("latin-1") == b"\x80 \xff, a"
+        answer.end(True)
--- /dev/null
+++ b/tests/test_response_syntax.py
@@ -0,0 +1,122 @@
+"""The grammar of the lines of a response."""
+
+import string
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from gypsumwind.response_syntax import (
+    MalformedResponseError,
+    parse_field,
+    parse_status_line,
+)
+
+TOKEN_SIGNS = (string.ascii_letters + string.digits + "!#$%&'*+-.^_`|~").encode()
+CONTROLS = bytes([*range(9), *range(10, 32), 127])
+
+
+def outcome(parse, line):
+    """Return what a line parses to, None if it is malformed."""
+    try:
+        return parse(line)
+    except MalformedResponseError:
+        return None
+
+
+@given(name=st.binary(max_size=6), at=st.integers(0, 5), sign=st.integers(0, 255))
+@example(name=b"X", at=1, sign=0x20)
+def test_name_of_a_field_is_a_token(name, at, sign):
+    for text in (name, TOKEN_SIGNS[at:] + bytes([sign]), b"X"[: at % 2] + bytes([sign]) + b"X"):
+        # A colon in a name begins the value.
+        sound = bool(text) and all(n in TOKEN_SIGNS for n in text.partition(b":")[0])
+        sound = sound and not text.startswith(b":")
+        value = text.partition(b":")[2]
+        sound = sound and not any(n in CONTROLS for n in value)
+        assert (outcome(parse_field, text + b": v\r\n") is not None) is sound
+
+
+@given(value=st.binary(max_size=8))
+@example(value=b"")
+@example(value=bytes(range(128, 256)))
+def test_value_of_a_field_has_no_control_but_tabs(value):
+    found = outcome(parse_field, b"X:" + value + b"\r\n")
+    if any(n in CONTROLS for n in value):
+        assert found is None
+    else:
+        assert found == ("X", value.strip(b" \t").decode("latin-1"))
+
+
+@pytest.mark.parametrize("line", [b"X: 1\r\n", b"X:1\r\n", b"X:\t1 \t\r\n", b"X: 1\n"])
+def test_sound_field(line):
+    assert parse_field(line) == ("X", "1")
+
+
+@pytest.mark.parametrize("line", [b" X: 1\r\n", b"\tX: 1\r\n", b"X\r\n", b"X: 1\r\r\n", b"X: 1"])
+def test_malformed_field(line):
+    with pytest.raises(MalformedResponseError):
+        parse_field(line)
+
+
+def test_message_of_an_error_quotes_nothing():
+    with pytest.raises(MalformedResponseError) as failed:
+        parse_field(b"secret name: secret\r\n")
+    assert str(failed.value) == "malformed field name"
+
+
+@given(text=st.text("0123456789 +-_.x", max_size=5) | st.integers(0, 1100).map(str))
+@example(text="000")
+@example(text="599")
+@example(text="600")
+def test_status_has_three_digits_and_is_of_a_class(text):
+    found = outcome(parse_status_line, f"HTTP/1.1 {text}\r\n".encode())
+    digits = text[:3]
+    sound = len(digits) == 3 and all(c in "0123456789" for c in digits) and "1" <= digits[0] <= "5"
+    sound = sound and text[3:4] in ("", " ")
+    assert (found is not None and found.status == int(digits)) if sound else found is None
+
+
+@pytest.mark.parametrize(
+    ("line", "minor", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", 1, "OK"),
+        (b"HTTP/1.0 200 OK\r\n", 0, "OK"),
+        (b"HTTP/1.1 200 \r\n", 1, ""),
+        (b"HTTP/1.1 200\r\n", 1, ""),
+        (b"HTTP/1.1 200 All's \t w\xe9ll\r\n", 1, "All's \t wéll"),
+        (b"HTTP/1.1 200 OK\n", 1, "OK"),
+    ],
+)
+def test_sound_status_line(line, minor, reason):
+    found = parse_status_line(line)
+    assert (found.minor, found.status, found.reason) == (minor, 200, reason)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"\r\n",
+        b"HTTP/1.1\r\n",
+        b"HTTP/1.1 200OK\r\n",
+        b"HTTP/1.1 2000 OK\r\n",
+        b"HTTP/1.1 000 OK\r\n",
+        b"HTTP/1.1 099 OK\r\n",
+        b"HTTP/1.1 999 OK\r\n",
+        b"HTTP/1.1  200 OK\r\n",
+        b"HTTP/1.1\t200 OK\r\n",
+        b" HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 O\x00K\r\n",
+        b"HTTP/1.1 200 OK\r\r\n",
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.10 200 OK\r\n",
+        b"HTTP/1. 200 OK\r\n",
+        b"HTTP/0.9 200 OK\r\n",
+        b"HTTP/2.0 200 OK\r\n",
+        b"HTTP/2 200 OK\r\n",
+        b"http/1.1 200 OK\r\n",
+        b"ICY 200 OK\r\n",
+    ],
+)
+def test_malformed_status_line(line):
+    with pytest.raises(MalformedResponseError):
+        parse_status_line(line)
