--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -15,8 +15,11 @@
 
 from gypsumwind.response_syntax import (
     BODILESS_STATUSES,
+    BodyFraming,
+    StatusLine,
     ends_fields,
     parse_field,
+    parse_framing,
     parse_status_line,
 )
 
@@ -125,20 +128,17 @@
         while True:
             line = parse_status_line(self.reader.readline())
             fields = self._read_fields()
+            framing = _framing_of(line, fields)
             if line.status != HTTPStatus.CONTINUE:
                 break
         self.code = self.status = line.status
         self.reason = line.reason
         self.version = 11 if line.minor else 10
         self.headers = self.msg = fields
-        self.chunked = fields.get("transfer-encoding", "").lower() == "chunked"
+        bodiless = self._method == "HEAD" or line.status in BODILESS_STATUSES
+        self.chunked = framing.chunked and not bodiless
         self.chunk_left = None
-        self.length = None
-        length = fields.get("content-length", "")
-        if length.isdecimal() and not self.chunked:
-            self.length = int(length)
-        if self._method == "HEAD" or line.status in BODILESS_STATUSES:
-            self.length = 0
+        self.length = 0 if bodiless else framing.length
         self.will_close = self._check_close() or (not self.chunked and self.length is None)
 
     def _read_fields(self) -> HTTPMessage:
@@ -146,3 +146,13 @@
         while not ends_fields(line := self.reader.readline()):
             fields.set_raw(*parse_field(line))
         return fields
+
+
+def _framing_of(line: StatusLine, fields: HTTPMessage) -> BodyFraming:
+    """Return the framing of a body by its head; a length that is repeated is reduced to one."""
+    lengths = fields.get_all("content-length", [])
+    framing = parse_framing(line.minor, fields.get_all("transfer-encoding", []), lengths)
+    if framing.length is not None and lengths != [str(framing.length)]:
+        del fields["content-length"]
+        fields.set_raw("Content-Length", str(framing.length))
+    return framing
--- a/gypsumwind/response_syntax.py
+++ b/gypsumwind/response_syntax.py
@@ -7,12 +7,16 @@
 """
 
 import re
+from collections.abc import Sequence
 from dataclasses import dataclass
 from http.client import HTTPException
 
 BODILESS_STATUSES = frozenset((204, 304))
 """Statuses of final responses that have no body, whatever their fields."""
 
+MAX_BODY_BYTES = 2**63 - 1
+"""Largest length of a body or of a chunk that is accepted."""
+
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 
@@ -21,6 +25,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: (" + _TEXT + rb"))?\r?\n")
 _FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")\r?\n")
 _FIELD_NAME = re.compile(_TOKEN)
+_LENGTH = re.compile(r"0*([0-9]{1,19})")
 
 
 class MalformedResponseError(HTTPException):
@@ -36,6 +41,14 @@
     reason: str
 
 
+@dataclass(slots=True, frozen=True)
+class BodyFraming:
+    """How the end of a body is told: by chunks, a length in bytes, or else by the connection."""
+
+    chunked: bool
+    length: int | None
+
+
 def parse_status_line(line: bytes) -> StatusLine:
     """Parse a status line with its line terminator; MalformedResponseError if it is malformed."""
     match = _STATUS_LINE.fullmatch(line)
@@ -58,6 +71,35 @@
     return name.decode("ascii"), value.strip(b" \t").decode("latin-1")
 
 
+def parse_framing(minor: int, codings: Sequence[str], lengths: Sequence[str]) -> BodyFraming:
+    """Return the framing of a body by its values of Transfer-Encoding and of Content-Length.
+
+    MalformedResponseError if they are malformed, contradict each other, or name a coding besides
+    chunked, which is never requested. A length may be repeated (RFC 9112, section 6.3).
+    """
+    if codings:
+        if lengths:
+            raise MalformedResponseError("Content-Length beside Transfer-Encoding")
+        # A list may have empty elements (RFC 9110, section 5.6.1).
+        names = [name.strip(" \t").lower() for name in ",".join(codings).split(",")]
+        if minor == 0 or [name for name in names if name] != ["chunked"]:
+            raise MalformedResponseError("malformed or unknown Transfer-Encoding")
+        return BodyFraming(True, None)
+    if not lengths:
+        return BodyFraming(False, None)
+    sizes = {_parse_length(text.strip(" \t")) for text in ",".join(lengths).split(",")}
+    if len(sizes) > 1:
+        raise MalformedResponseError("different values of Content-Length")
+    return BodyFraming(False, sizes.pop())
+
+
+def _parse_length(text: str) -> int:
+    match = _LENGTH.fullmatch(text)
+    if match is None or int(match[1]) > MAX_BODY_BYTES:
+        raise MalformedResponseError("malformed Content-Length")
+    return int(match[1])
+
+
 def ends_fields(line: bytes) -> bool:
     """Return whether a line is the empty one that ends a head or trailers."""
     return line in (b"\r\n", b"\n")
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -188,6 +188,79 @@
     check_broken(hangups, read, MALFORMED_HEADS[name] + b"\r\n" + DOC)
 
 
+LENGTHS = {
+    "blank before the colon": b"Content-Length : 15",
+    "letter": b"Content-Length: 15x",
+    "negative": b"Content-Length: -15",
+    "sign": b"Content-Length: +15",
+    "empty": b"Content-Length:",
+    "hexadecimal": b"Content-Length: 0xf",
+    "underscore": b"Content-Length: 0_15",
+    "fraction": b"Content-Length: 15.0",
+    "blank": b"Content-Length: 0 15",
+    "other digits": b"Content-Length: 15\xb2",
+    "overflow": b"Content-Length: 1844674407370955161615",
+    "5000 digits": b"Content-Length: " + b"1" * 5000,
+    "different values": b"Content-Length: 15, 3",
+    "different fields": b"Content-Length: 15\r\nContent-Length: 3",
+    "one malformed field": b"Content-Length: 15\r\nContent-Length: x",
+    "empty element": b"Content-Length: 15,",
+    "letter, then sound": b"Content-Length: x\r\nContent-Length: 15",
+}
+
+CODINGS = {
+    "empty": b"Transfer-Encoding:",
+    "identity": b"Transfer-Encoding: identity",
+    "unknown": b"Transfer-Encoding: gzip, chunked",
+    "chunked not last": b"Transfer-Encoding: chunked, gzip",
+    "chunked twice": b"Transfer-Encoding: chunked, chunked",
+    "chunked in two fields": b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "letter": b"Transfer-Encoding: xchunked",
+    "parameter": b"Transfer-Encoding: chunked;q=1",
+    "blank before the colon": b"Transfer-Encoding : chunked",
+    "beside a length": b"Transfer-Encoding: chunked\r\nContent-Length: 5",
+}
+
+MALFORMED_FRAMINGS = {
+    **{f"length: {name}": (line, DOC) for name, line in LENGTHS.items()},
+    **{
+        f"coding: {name}, {kind}": (line, body)
+        for name, line in CODINGS.items()
+        for kind, body in (("chunks", b"%x\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC)), ("plain", DOC))
+    },
+}
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", MALFORMED_FRAMINGS)
+def test_answer_with_a_malformed_length_or_coding_is_not_taken(hangups, read, name):
+    line, body = MALFORMED_FRAMINGS[name]
+    check_broken(hangups, read, OK + line + b"\r\n\r\n" + body)
+
+
+def test_chunks_of_an_answer_of_http_1_0_are_not_taken(hangups):
+    answer = OK.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    check_broken(hangups, read_as_instance, answer)
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_answer_without_a_body_with_a_malformed_length_is_not_taken(hangups, status, method):
+    answer = OK.replace(b"200 OK", status) + b"Content-Length: 5x\r\n\r\n"
+    with raw_server(answering(answer)) as address:
+        assert send_to_instance(address, hangups, method=method).outcome == Outcome.CUT
+
+
+@pytest.mark.parametrize("line", [b"Content-Length: 15", b"Transfer-Encoding: chunked"])
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified", b"200 OK"])
+def test_answer_without_a_body_ends_with_its_head(hangups, status, line):
+    answer = OK.replace(b"200 OK", status) + line + b"\r\n\r\n"
+    method = "HEAD" if status == b"200 OK" else "GET"
+    with raw_server(answering(answer)) as address:
+        sent = send_to_instance(address, hangups, method=method)
+        assert sent.outcome == Outcome.OK and body_of(sent.answer) == b""
+
+
 @pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"413 Large", b"500 Failed"])
 @pytest.mark.parametrize("name", MALFORMED_LINES)
 def test_refusal_or_failure_with_a_malformed_head_tells_nothing(hangups, status, name):
@@ -259,3 +332,22 @@
         answer = send_to_instance(address, hangups).answer
         assert dict(answer.headers)["X-A"].encode("latin-1") == b"\x80 \xff, a"
         answer.end(True)
+
+
+CHUNKED = b"Transfer-Encoding: %b\r\n\r\n"
+
+SOUND_BODIES = {
+    "length": LENGTH + b"\r\n" + DOC,
+    "length, leading zeros": b"Content-Length: 000%d\r\n\r\n" % len(DOC) + DOC,
+    "length twice": LENGTH + LENGTH + b"\r\n" + DOC,
+    "length in a list": b"Content-Length: %d ,%d\r\n\r\n" % (len(DOC), len(DOC)) + DOC,
+    "length, more bytes behind the body": LENGTH + b"\r\n" + DOC + b"more",
+    "chunks": CHUNKED % b"chunked" + b"%x\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC),
+}
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", SOUND_BODIES)
+def test_sound_body_is_taken(hangups, read, name):
+    with raw_server(answering(OK + SOUND_BODIES[name])) as address:
+        assert read(address, hangups) in (DOC, b"probe", b"page")
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -9,6 +9,7 @@
 from gypsumwind.response_syntax import (
     MalformedResponseError,
     parse_field,
+    parse_framing,
     parse_status_line,
 )
 
@@ -120,3 +121,41 @@
 def test_malformed_status_line(line):
     with pytest.raises(MalformedResponseError):
         parse_status_line(line)
+
+
+@given(text=st.text("0123456789 ,+-_x\t\xb2", max_size=4) | st.integers(0, 2**65).map(str))
+@example(text=str(2**63 - 1))
+@example(text=str(2**63))
+@example(text="0" * 5000 + "7")
+@example(text="1" * 5000)
+def test_length_is_digits_and_within_the_bound(text):
+    parts = [part.strip(" \t") for part in text.split(",")]
+    sound = all(part and not part.strip("0123456789") for part in parts)
+    values = {int(part.lstrip("0")[:30] or "0") for part in parts} if sound else set()
+    found = outcome(lambda value: parse_framing(1, [], [value]), text)
+    if len(values) == 1 and max(values) < 2**63:
+        assert found.length == values.pop() and not found.chunked
+    else:
+        assert found is None
+
+
+@pytest.mark.parametrize(
+    "codings", [["chunked"], ["Chunked"], ["CHUNKED"], [" chunked ,"], [",chunked", ""]]
+)
+def test_sound_coding(codings):
+    found = parse_framing(1, codings, [])
+    assert found.chunked and found.length is None
+    with pytest.raises(MalformedResponseError):
+        parse_framing(1, codings, ["5"])
+    with pytest.raises(MalformedResponseError):
+        parse_framing(0, codings, [])
+
+
+@pytest.mark.parametrize(
+    "codings",
+    [[""], ["identity"], ["gzip"], ["gzip, chunked"], ["chunked, gzip"], ["chunked", "chunked"]]
+    + [["xchunked"], ["chunked;q=1"], ["chunked chunked"], ["chun,ked"], ["chunked\xa0"]],
+)
+def test_malformed_or_unknown_coding(codings):
+    with pytest.raises(MalformedResponseError):
+        parse_framing(1, codings, [])
