An answer in chunks that names its coding in capitals passes between VMs

A VM that handed a request to another, or an owner to its instance, refused a whole answer with `Transfer-Encoding: Chunked` (502, may have run): senders.py compared the coding by case, the direct way did not. The head has been checked when it gets there, so that a coding is chunked.

--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -150,8 +150,7 @@
 
 def _to_answer(response: BaseHTTPResponse, target: Target, out: OutgoingRequest) -> Answer:
     length = _length(response, out.method)
-    framed = length is not None or "chunked" in response.headers.get("transfer-encoding", "")
-    if not framed:
+    if length is None and "transfer-encoding" not in response.headers:
         response.close()
         raise RequestError(
             target.failed,
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -343,6 +343,7 @@
     "length in a list": b"Content-Length: %d ,%d\r\n\r\n" % (len(DOC), len(DOC)) + DOC,
     "length, more bytes behind the body": LENGTH + b"\r\n" + DOC + b"more",
     "chunks": CHUNKED % b"chunked" + b"%x\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC),
+    "chunks in capitals": CHUNKED % b"Chunked" + b"%X\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC),
 }
 
 
