MIXED: an interim answer is not passed on as the final one

Cause: the library skips 100 alone.

Fix: StrictResponse.begin skips every 1xx, whose heads are checked as strictly as the final one's and whose signals have no effect. 101 is malformed: no upgrade is ever requested, and what follows it is not HTTP.

Not done: interim answers are not passed on to callers.

--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -16,6 +16,7 @@
 from gypsumwind.response_syntax import (
     BODILESS_STATUSES,
     BodyFraming,
+    MalformedResponseError,
     StatusLine,
     ends_fields,
     parse_field,
@@ -122,14 +123,19 @@
         self.fp = self.reader
 
     def begin(self) -> None:
-        """Read the head; MalformedResponseError or FramingError if it is malformed or too long."""
+        """Read the head of the final response; interim ones are skipped.
+
+        MalformedResponseError if any of them is malformed, FramingError if they are too long.
+        """
         if self.headers is not None:
             return
         while True:
             line = parse_status_line(self.reader.readline())
             fields = self._read_fields()
             framing = _framing_of(line, fields)
-            if line.status != HTTPStatus.CONTINUE:
+            if line.status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise MalformedResponseError("switch to a protocol that was not requested")
+            if line.status >= HTTPStatus.OK:
                 break
         self.code = self.status = line.status
         self.reason = line.reason
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -1,5 +1,6 @@
 """Answers that are broken, as every client of the product reads them."""
 
+import math
 import socket
 
 import pytest
@@ -261,6 +262,53 @@
         assert sent.outcome == Outcome.OK and body_of(sent.answer) == b""
 
 
+SOUND = OK + LENGTH + b"\r\n" + DOC
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\n"
+
+INTERIMS = {
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "102": b"HTTP/1.1 102 Processing\r\n\r\n",
+    "103": EARLY_HINTS + b"Link: </a>\r\n\r\n",
+    "199, empty reason": b"HTTP/1.1 199 \r\n\r\n",
+    "several": b"HTTP/1.1 100 Continue\r\n\r\n" + EARLY_HINTS + b"\r\n" + EARLY_HINTS + b"\r\n",
+    "with a length": EARLY_HINTS + b"Content-Length: 5\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", INTERIMS)
+def test_interim_answer_is_not_the_final_one(hangups, read, name):
+    with raw_server(answering(INTERIMS[name] + SOUND)) as address:
+        assert read(address, hangups) in (DOC, b"probe", b"page")
+
+
+def test_signals_of_an_interim_answer_have_no_effect(hangups):
+    interim = EARLY_HINTS + NAMED + b"Server-Leaving: 1\r\nServer-Limit: 1\r\n\r\n"
+    with raw_server(answering(interim + SOUND)) as address:
+        sent = send_to_instance(address, hangups)
+        assert body_of(sent.answer) == DOC
+        assert not sent.leaving and sent.rate_limit == math.inf
+
+
+BROKEN_INTERIMS = {
+    **{name: EARLY_HINTS + line + b"\r\n\r\n" for name, line in MALFORMED_LINES.items()},
+    "malformed length": EARLY_HINTS + b"Content-Length: 5x\r\n\r\n",
+    "status 199x": b"HTTP/1.1 199x Odd\r\n\r\n",
+    "protocol switched": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", BROKEN_INTERIMS)
+def test_answer_behind_a_malformed_interim_one_is_not_taken(hangups, read, name):
+    check_broken(hangups, read, BROKEN_INTERIMS[name] + SOUND)
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+def test_interim_answer_alone_is_no_answer(hangups, read):
+    check_broken(hangups, read, EARLY_HINTS + NAMED + LENGTH + b"\r\n")
+
+
 @pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"413 Large", b"500 Failed"])
 @pytest.mark.parametrize("name", MALFORMED_LINES)
 def test_refusal_or_failure_with_a_malformed_head_tells_nothing(hangups, status, name):
