MIXED: an answer with a malformed chunk or trailer is not whole

An instance in trouble that sent chunks whose sizes were spoilt (`+f`, `0xf`, `0_f`, a blank before it, LF alone, a control byte behind it), with other bytes where a chunk ends, or trailers that are no fields, had its answer passed on as complete.

Cause: the library takes for a size what int(…, 16) takes, skips two bytes behind each chunk unread, and discards trailers up to the next empty line whatever they hold.

Fix: StrictResponse reads sizes by the grammar (parse_chunk_size: hexadecimal digits up to 2^63-1, extensions, CRLF), checks the end of a chunk, and reads trailers as fields, which it drops as before. A body that the caller already gets ends as a cut one.

Sound chunks stay served: extensions, quoted ones, trailers, capitals, leading zeros, a chunk a byte.

Ruled out: LF alone behind a size, which RFC 9112, 2.2, allows in a head alone; blanks behind a size, which it allows nowhere.

--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -19,6 +19,7 @@
     MalformedResponseError,
     StatusLine,
     ends_fields,
+    parse_chunk_size,
     parse_field,
     parse_framing,
     parse_status_line,
@@ -113,7 +114,11 @@
 
 
 class StrictResponse(HTTPResponse):
-    """The library's response, read through a BoundedReader; a malformed one is an error."""
+    """The library's response, read through a BoundedReader; a malformed one is an error.
+
+    It replaces the library's reading of heads, chunk sizes and trailers, of which the last two are
+    private methods there.
+    """
 
     def __init__(
         self, sock: Any, *args: Any, abort_reason: Callable[[], str] = str, **kwargs: Any
@@ -147,6 +152,20 @@
         self.length = 0 if bodiless else framing.length
         self.will_close = self._check_close() or (not self.chunked and self.length is None)
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk, the next one's at its end; None after the last."""
+        if self.chunk_left == 0:
+            if self.reader.read(2) != b"\r\n":
+                raise MalformedResponseError("chunk without its line end")
+            self.chunk_left = None
+        return super()._get_chunk_left()  # type: ignore[misc]
+
+    def _read_next_chunk_size(self) -> int:
+        return parse_chunk_size(self.reader.readline())
+
+    def _read_and_discard_trailer(self) -> None:
+        self._read_fields()
+
     def _read_fields(self) -> HTTPMessage:
         fields = HTTPMessage()
         while not ends_fields(line := self.reader.readline()):
--- a/gypsumwind/response_syntax.py
+++ b/gypsumwind/response_syntax.py
@@ -25,6 +25,11 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9][0-9])(?: (" + _TEXT + rb"))?\r?\n")
 _FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")\r?\n")
 _FIELD_NAME = re.compile(_TOKEN)
+_QUOTED = rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*+"'
+_EXTENSION = (
+    rb"[\t ]*+;[\t ]*+" + _TOKEN + rb"(?:[\t ]*+=[\t ]*+(?:" + _TOKEN + rb"|" + _QUOTED + rb"))?"
+)
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]++)(?:" + _EXTENSION + rb")*+\r\n")
 _LENGTH = re.compile(r"0*([0-9]{1,19})")
 
 
@@ -100,6 +105,17 @@
     return int(match[1])
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size that a line before a chunk states, extensions ignored.
+
+    MalformedResponseError if it is malformed; only CRLF ends such a line.
+    """
+    match = _CHUNK_SIZE.fullmatch(line)
+    if match is None or (size := int(match[1], 16)) > MAX_BODY_BYTES:
+        raise MalformedResponseError("malformed chunk size")
+    return size
+
+
 def ends_fields(line: bytes) -> bool:
     """Return whether a line is the empty one that ends a head or trailers."""
     return line in (b"\r\n", b"\n")
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -262,6 +262,47 @@
         assert sent.outcome == Outcome.OK and body_of(sent.answer) == b""
 
 
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"f\r\n" + DOC + b"\r\n"
+
+MALFORMED_CHUNKS = {
+    "letter in a size": CHUNK.replace(b"f\r", b"fx\r") + b"0\r\n\r\n",
+    "negative size": b"-f\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "size with a sign": b"+f\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "size with a prefix": b"0xf\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "size with an underscore": b"0_f\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "size behind a blank": b" f\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "empty size": b"\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "size that overflows": b"10000000000000000f\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "extension without a name": b"f;=a\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "control byte in an extension": b"f;a\x01\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "LF alone behind a size": b"f\n" + DOC + b"\r\n0\r\n\r\n",
+    "LF alone behind a chunk": b"f\r\n" + DOC + b"\n0\r\n\r\n",
+    "other bytes behind a chunk": b"f\r\n" + DOC + b"xx0\r\n\r\n",
+    "no line behind a chunk": b"f\r\n" + DOC + b"0\r\n\r\n",
+    "longer chunk": b"f\r\n" + DOC + b"  \r\n0\r\n\r\n",
+    "shorter chunk": b"10\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "no last chunk": CHUNK,
+    "malformed last chunk": CHUNK + b"0x\r\n\r\n",
+    "no end of the trailers": CHUNK + b"0\r\n",
+    **{f"trailer: {n}": CHUNK + b"0\r\n" + x + b"\r\n\r\n" for n, x in MALFORMED_LINES.items()},
+}
+
+
+@pytest.mark.parametrize("read", READERS.values(), ids=READERS)
+@pytest.mark.parametrize("name", MALFORMED_CHUNKS)
+def test_answer_with_a_malformed_chunk_is_not_taken(hangups, read, name):
+    check_broken(hangups, read, CHUNKED + MALFORMED_CHUNKS[name])
+
+
+@pytest.mark.parametrize("read", [read_as_instance, read_as_vm])
+@pytest.mark.parametrize("name", MALFORMED_CHUNKS)
+def test_malformed_chunk_behind_what_was_passed_on_ends_the_answer(hangups, read, name):
+    """The caller has begun to get the body, so that it must not look whole."""
+    begin = b"%x\r\n%b\r\n" % (2 * BUFFER_BYTES, b"x" * 2 * BUFFER_BYTES)
+    check_broken(hangups, read, CHUNKED + begin + MALFORMED_CHUNKS[name])
+
+
 SOUND = OK + LENGTH + b"\r\n" + DOC
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\n"
 
@@ -382,16 +423,22 @@
         answer.end(True)
 
 
-CHUNKED = b"Transfer-Encoding: %b\r\n\r\n"
-
 SOUND_BODIES = {
     "length": LENGTH + b"\r\n" + DOC,
     "length, leading zeros": b"Content-Length: 000%d\r\n\r\n" % len(DOC) + DOC,
     "length twice": LENGTH + LENGTH + b"\r\n" + DOC,
     "length in a list": b"Content-Length: %d ,%d\r\n\r\n" % (len(DOC), len(DOC)) + DOC,
     "length, more bytes behind the body": LENGTH + b"\r\n" + DOC + b"more",
-    "chunks": CHUNKED % b"chunked" + b"%x\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC),
-    "chunks in capitals": CHUNKED % b"Chunked" + b"%X\r\n%b\r\n0\r\n\r\n" % (len(DOC), DOC),
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n",
+    "chunks in capitals": b"Transfer-Encoding: Chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n",
+    "size in capitals": b"Transfer-Encoding: chunked\r\n\r\nF\r\n" + DOC + b"\r\n000\r\n\r\n",
+    "extensions": b"Transfer-Encoding: chunked\r\n\r\n"
+    + CHUNK.replace(b"f\r", b'f ;a=b; c="d;e"\r')
+    + b"0;last\r\n\r\n",
+    "trailers": b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\nX-A: 1\r\nX-B:\r\n\r\n",
+    "many chunks": b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"".join(b"1\r\n%c\r\n" % byte for byte in DOC)
+    + b"0\r\n\r\n",
 }
 
 
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -8,6 +8,7 @@
 
 from gypsumwind.response_syntax import (
     MalformedResponseError,
+    parse_chunk_size,
     parse_field,
     parse_framing,
     parse_status_line,
@@ -159,3 +160,39 @@
 def test_malformed_or_unknown_coding(codings):
     with pytest.raises(MalformedResponseError):
         parse_framing(1, codings, [])
+
+
+@given(size=st.integers(0, 2**65), capitals=st.booleans(), zeros=st.integers(0, 20))
+@example(size=2**63 - 1, capitals=True, zeros=0)
+@example(size=2**63, capitals=True, zeros=0)
+def test_chunk_size_is_hexadecimal_and_within_the_bound(size, capitals, zeros):
+    text = "0" * zeros + (f"{size:X}" if capitals else f"{size:x}")
+    found = outcome(parse_chunk_size, text.encode() + b"\r\n")
+    assert found == (size if size < 2**63 else None)
+
+
+@pytest.mark.parametrize(
+    "extension",
+    [b"", b";a", b";a=b", b' ; a\t=\t"b c"', b';a="\\"";b', b';a="\x80;\t"', b";a" * 1000],
+)
+def test_extension_of_a_chunk_is_ignored(extension):
+    assert parse_chunk_size(b"1f" + extension + b"\r\n") == 31
+
+
+@pytest.mark.parametrize(
+    "line",
+    [b"\r\n", b"5", b"5\n", b"5x\r\n", b"-5\r\n", b"+5\r\n", b"0x5\r\n", b"5_0\r\n", b" 5\r\n"]
+    + [b"5 \r\n", b"5 5\r\n", b";a\r\n", b"5;\r\n", b"5;=b\r\n", b"5;a=\r\n", b"5;a b\r\n"]
+    + [b'5;a="b\r\n', b'5;a="b"c\r\n', b"5;a\x00\r\n", b"5;a=b\r\r\n", b"5\r\r\n", b"5,5\r\n"],
+)
+def test_malformed_chunk_size(line):
+    with pytest.raises(MalformedResponseError):
+        parse_chunk_size(line)
+
+
+@pytest.mark.parametrize("part", [b" ", b"a", b";a", b";a=", b'"', b"\\", b'\\"', b" ;", b" ="])
+@pytest.mark.parametrize("begin", [b"", b"5", b"5;a", b'5;a="', b"X", b"X:", b"HTTP/1.1 200 "])
+def test_long_malformed_line_is_rejected_by_every_parser(begin, part):
+    """Guards against a match that backtracks so long that it blocks its thread."""
+    line = begin + part * (65536 // len(part)) + b"\x00\r\n"
+    assert not any(outcome(p, line) for p in (parse_chunk_size, parse_field, parse_status_line))
