Pages of a VM are read as strictly as other answers

The command-line tool's client of a VM's pages took answers with malformed heads, lengths and chunks, as it alone used the plain connection class of the library. It now uses the one that all other readers share, as do the store's client and probes, by one class in place of the same two lines in each (TrackedPoolManager). https is left to the library, as before.

--- a/gypsumwind/clients.py
+++ b/gypsumwind/clients.py
@@ -3,10 +3,10 @@
 import json
 from typing import Any
 
-import urllib3
 from urllib3.exceptions import HTTPError
 
 from gypsumwind.errors import Code, GypsumwindError
+from gypsumwind.hangups import TrackedPoolManager
 
 TIMEOUT_S = 5.0
 
@@ -16,7 +16,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = TrackedPoolManager()
 
     def page(self, path: str) -> Any:
         """Return the JSON document of a page; GypsumwindError if it cannot be fetched."""
--- a/gypsumwind/hangups.py
+++ b/gypsumwind/hangups.py
@@ -15,6 +15,7 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.poolmanager import PoolManager
 from urllib3.response import HTTPResponse
 
 from gypsumwind.framing import StrictResponse
@@ -251,6 +252,14 @@
         super()._put_conn(conn)
 
 
+class TrackedPoolManager(PoolManager):
+    """Pools of tracked connections by address, which neither retry nor follow redirects."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(retries=False, **options)
+        self.pool_classes_by_scheme = {**self.pool_classes_by_scheme, "http": TrackedPool}
+
+
 class DeadlineTask(Task):
     """Shuts down connections in use whose deadline has passed."""
 
--- a/gypsumwind/probes.py
+++ b/gypsumwind/probes.py
@@ -5,12 +5,11 @@
 from typing import Any
 
 import pykka
-import urllib3
 from urllib3.exceptions import HTTPError
 
 from gypsumwind import messages as msg
 from gypsumwind.core.table import Instance
-from gypsumwind.hangups import DeadlineTask, TrackedPool
+from gypsumwind.hangups import DeadlineTask, TrackedPoolManager
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
@@ -35,10 +34,9 @@
         self._cfg = cfg
         self._snapshots = snapshots
         self._gate = gate
-        self._pool = urllib3.PoolManager(
-            retries=False, num_pools=200, source_address=(cfg.ip, 0), timeout=PROBE_TIMEOUT_S
+        self._pool = TrackedPoolManager(
+            num_pools=200, source_address=(cfg.ip, 0), timeout=PROBE_TIMEOUT_S
         )
-        self._pool.pool_classes_by_scheme = {"http": TrackedPool}
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="health")
         self._last_held: set[str] = set()
 
--- a/gypsumwind/stores.py
+++ b/gypsumwind/stores.py
@@ -7,12 +7,11 @@
 from typing import Any, Protocol
 from urllib.parse import quote
 
-import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import Timeout
 
 from gypsumwind.errors import Code, StoreError
-from gypsumwind.hangups import CancelScope, DeadlineTask, TrackedPool, in_scope
+from gypsumwind.hangups import CancelScope, DeadlineTask, TrackedPoolManager, in_scope
 from gypsumwind.log import Log
 from gypsumwind.outages import OutageGuard
 from gypsumwind.utils import is_text, monotonic, parse_json
@@ -127,14 +126,12 @@
         options: dict[str, Any] = (
             {} if socket_options is None else {"socket_options": socket_options}
         )
-        self._pool = urllib3.PoolManager(
-            retries=False,
+        self._pool = TrackedPoolManager(
             maxsize=4,
             block=False,
             source_address=(ip, 0) if ip else None,
             **options,
         )
-        self._pool.pool_classes_by_scheme = {"http": TrackedPool}
 
     def read(self, path: str, timeout_s: float | None = None) -> StoreResponse:
         """Return the response to a read; it has a document only if the status is 200 or 404.
--- a/tests/standins/raw.py
+++ b/tests/standins/raw.py
@@ -164,5 +164,6 @@
     "vm": read_as_vm,
     "store-read": read_as_store,
     "store-write": write_to_store,
+    "page": read_as_page,
     "probe": read_as_probe,
 }
