The log tells which instance sent a malformed answer, and what is malformed in it

An operator found nothing of a malformed answer to a probe or a health check, nor of one between VMs, nor of one that broke off after its caller had begun to get it. Lines: probe-malformed, health-check-malformed, answer-malformed, answer-cut; request-sent names the part in place of the library's wrapping. None quotes bytes of the answer: the text of an error also reaches callers.

A health check with a malformed answer shows that the instance is reached, as sends do (`responded`).

--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -20,7 +20,7 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, cancelled
 from gypsumwind.log import Log
-from gypsumwind.response_syntax import BODILESS_STATUSES
+from gypsumwind.response_syntax import BODILESS_STATUSES, malformation
 from gypsumwind.steering import HeaderNames
 from gypsumwind.utils import monotonic, wall
 
@@ -192,7 +192,7 @@
             return _broken_exchange(conn, exc)
         signals = self._signals(up, req, response)
         try:
-            sent = self._read(conn, response, req)
+            sent = self._read(conn, up, response, req)
         except BROKEN_EXCHANGE as exc:
             sent = _broken_exchange(conn, exc)
         return replace(sent, **signals)
@@ -224,7 +224,9 @@
             if conn.sock is None:
                 raise
 
-    def _read(self, conn: TrackedConnection, response: HTTPResponse, req: Request) -> SendResult:
+    def _read(
+        self, conn: TrackedConnection, up: Upstream, response: HTTPResponse, req: Request
+    ) -> SendResult:
         names, headers = self._names, response.headers
         report = self._read_load(headers.get(names.load, ""))
         closing = _closes_connection(response)
@@ -245,7 +247,7 @@
             error = RequestError(Code.UPSTREAM_REFUSED, text, Verdict.NOT_RUN, 503)
             outcome = Outcome.MISDIRECTED if misdirected else Outcome.SHED
             return SendResult(outcome, None, error, report, closing)
-        whole = self._buffered_response(conn, response, req)
+        whole = self._buffered_response(conn, up, response, req)
         success = 200 <= response.status < 300
         if success and (names.signature not in headers or answered_id is None):
             whole.end(False)
@@ -299,7 +301,7 @@
         conn.close()
 
     def _buffered_response(
-        self, conn: TrackedConnection, response: HTTPResponse, req: Request
+        self, conn: TrackedConnection, up: Upstream, response: HTTPResponse, req: Request
     ) -> Answer:
         """Return the response with up to BUFFER_BYTES of its body already read."""
         headers = [(n, v) for n, v in response.headers.items() if n.lower() not in HOP_BY_HOP]
@@ -313,9 +315,8 @@
             if size >= BUFFER_BYTES:
                 text = response.headers.get("content-length", "")
                 length = int(text) if text.isdecimal() else None
-                return Answer(
-                    response.status, headers, _chain(buffered, source), conn.close, length
-                )
+                chunks = _chain(buffered, source, up, req)
+                return Answer(response.status, headers, chunks, conn.close, length)
         self._release(conn, response)
         return Answer(response.status, headers, iter(buffered), _noop, size)
 
@@ -377,20 +378,27 @@
         return _deadline_failure(conn)
     if cancelled():
         return _failure(Outcome.CANCELLED, Code.CANCELLED, "caller gone", Verdict.MAY_HAVE_RUN, 499)
-    text = f"answer cut: {type(exc).__name__}: {exc}"
-    return _failure(Outcome.CUT, Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502)
+    return _failure(Outcome.CUT, Code.UPSTREAM_FAILED, _cut_text(exc), Verdict.MAY_HAVE_RUN, 502)
 
 
-def _chain(buffered: list[bytes], source: Iterator[bytes]) -> Iterator[bytes]:
+def _chain(
+    buffered: list[bytes], source: Iterator[bytes], up: Upstream, req: Request
+) -> Iterator[bytes]:
     """Yield the buffered and remaining chunks; raise if truncated, lest the body look complete."""
     yield from buffered
     try:
         yield from source
     except (HTTPException, HTTPError, OSError) as exc:
-        text = f"answer cut: {exc}"
+        text = _cut_text(exc)
+        log.info("answer-cut", id=req.id, instance=up.id, error=text)
         raise RequestError(Code.UPSTREAM_FAILED, text, Verdict.MAY_HAVE_RUN, 502) from exc
 
 
+def _cut_text(exc: Exception) -> str:
+    cause = malformation(exc) or exc
+    return f"answer cut: {type(cause).__name__}: {cause}"
+
+
 def _closes_connection(response: HTTPResponse) -> bool:
     return "close" in response.headers.get("connection", "").lower()
 
--- a/gypsumwind/isolations.py
+++ b/gypsumwind/isolations.py
@@ -15,6 +15,7 @@
 from gypsumwind.core.upstreams import Upstream
 from gypsumwind.hangups import DeadlineTask, TrackedPool
 from gypsumwind.log import Log
+from gypsumwind.response_syntax import malformation
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
@@ -110,7 +111,10 @@
         return (checked for *_, checked in sorted(turns, key=lambda t: t[:3])[:MAX_CHECKS])
 
     def _check(self, checked: Checked) -> bool | None:
-        """Return whether an instance responds, None if it only accepts the connection in time."""
+        """Return whether an instance responds, None if it only accepts the connection in time.
+
+        A malformed response shows as well as another one that the instance is reached.
+        """
         up, path = checked
         deadline = monotonic() + CHECK_DEADLINE_S
         with (
@@ -123,6 +127,9 @@
                 pool.request("GET", path, retries=False, preload_content=False).close()
             except ReadTimeoutError:
                 return None
-            except (HTTPError, OSError, ValueError):
-                return None if monotonic() >= deadline else False
+            except (HTTPError, OSError, ValueError) as exc:
+                malformed = malformation(exc)
+                if malformed is None:
+                    return None if monotonic() >= deadline else False
+                log.warning("health-check-malformed", instance=up.id, error=str(malformed))
             return True
--- a/gypsumwind/probes.py
+++ b/gypsumwind/probes.py
@@ -10,11 +10,15 @@
 from gypsumwind import messages as msg
 from gypsumwind.core.table import Instance
 from gypsumwind.hangups import DeadlineTask, TrackedPoolManager
+from gypsumwind.log import Log
+from gypsumwind.response_syntax import malformation
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.tasks import Task
 from gypsumwind.utils import monotonic
 
+log = Log("probes")
+
 PROBE_TIMEOUT_S = 0.5
 PROBE_DEADLINE_S = 2 * PROBE_TIMEOUT_S
 """Longest time, in seconds, for the connection and the whole response."""
@@ -83,5 +87,8 @@
                 return json.loads(answer.read(MAX_RESPONSE_BYTES))
             finally:
                 answer.release_conn()
-        except (HTTPError, OSError, ValueError):
+        except (HTTPError, OSError, ValueError) as exc:
+            malformed = malformation(exc)
+            if malformed is not None:
+                log.warning("probe-malformed", instance=inst.name, path=path, error=str(malformed))
             return None
--- a/gypsumwind/response_syntax.py
+++ b/gypsumwind/response_syntax.py
@@ -37,6 +37,12 @@
     """A response violates the syntax of the protocol; the message names the part that does."""
 
 
+def malformation(exc: BaseException) -> MalformedResponseError | None:
+    """Return the malformed response that an error, maybe one of the library, rests on."""
+    causes = (exc, *exc.args)
+    return next((cause for cause in causes if isinstance(cause, MalformedResponseError)), None)
+
+
 @dataclass(slots=True, frozen=True)
 class StatusLine:
     """The status line of a response; `minor` is the minor version of the protocol."""
--- a/gypsumwind/senders.py
+++ b/gypsumwind/senders.py
@@ -22,9 +22,12 @@
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, TrackedPool, cancelled
-from gypsumwind.response_syntax import BODILESS_STATUSES
+from gypsumwind.log import Log
+from gypsumwind.response_syntax import BODILESS_STATUSES, malformation
 from gypsumwind.utils import monotonic
 
+log = Log("senders")
+
 POOL_CONNECTIONS = 64
 CLIENT_CLOSED_STATUS = 499
 
@@ -113,6 +116,7 @@
                 504,
             ) from exc
         except (HTTPError, OSError) as exc:
+            _log_malformed(exc, target)
             if monotonic() >= out.deadline:
                 text = f"no whole answer in time: {exc}"
                 raise RequestError(Code.DEADLINE_EXCEEDED, text, Verdict.MAY_HAVE_RUN, 504) from exc
@@ -190,6 +194,7 @@
                 break
             yield chunk
     except (HTTPError, OSError) as exc:
+        _log_malformed(exc, target)
         raise RequestError(
             target.failed,
             f"the answer was cut: {exc}",
@@ -199,6 +204,13 @@
     response.release_conn()
 
 
+def _log_malformed(exc: Exception, target: Target) -> None:
+    malformed = malformation(exc)
+    if malformed is not None:
+        address = f"{target.ip}:{target.port}"
+        log.warning("answer-malformed", address=address, error=str(malformed))
+
+
 def _closer(response: BaseHTTPResponse) -> Callable[[], None]:
     def close() -> None:
         """Close the connection unless the answer was fully read and it is back in the pool."""
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -15,6 +16,7 @@
 from tests.standins.fleet import wait_until
 from tests.standins.http import QuietHandler, StandIn
 from tests.standins.platform import PlatformStore, settings_lines
+from tests.standins.raw import RESET_ON_CLOSE
 
 ROOT = Path(__file__).resolve().parents[2]
 SIGNATURE = "Gypsumwind-Response-Signature"
@@ -25,7 +27,8 @@
 
     `mode`: ok, shed, cut (runs, then closes without a response), short (half of the body), extra
     (a second response), endless (a body without a length that never ends, `head_start` bytes of it
-    at once), unsigned or fail (500).
+    at once), malformed (as ok, with `malformed` as another line of the head), reset (a part of a
+    body without a length before it has read the request's, then a reset), unsigned or fail (500).
     `headers` are sent with every response but a 421.
     `arrivals` has the time of each request in `received`.
 
@@ -43,6 +46,7 @@
         self.mode = "ok"
         self.headers = {}
         self.head_start = 0
+        self.malformed = b""
         self.ran = []
         self.received = []
         self.arrivals = []
@@ -69,11 +73,14 @@
         if self._partition() == "reset":
             self.close_connection = True
             return
+        request = self.headers.get("Gypsumwind-Request-Id", "")
+        if up.mode == "reset":
+            self._send_part_and_reset(up, request)
+            return
         body = self._body()
         if body is None:
             self.close_connection = True
             return
-        request = self.headers.get("Gypsumwind-Request-Id", "")
         with up.lock:
             up.received.append((request, dict(self.headers)))
             up.arrivals.append(time.monotonic())
@@ -140,13 +147,26 @@
             self.rfile.readline()
         return data if self.rfile.readline() else None
 
-    def _send_endless_body(self, up, request):
-        """Send bytes without end, slowly, until the caller closes the connection."""
+    def _send_part_and_reset(self, up, request):
+        """Answer before the body is read; the close with unread bytes resets the connection."""
         self.close_connection = True
+        with up.lock:
+            up.ran.append((request, self.command, self.path, b""))
+        self._send_head_without_length(request)
+        self.wfile.write(b"a part")
+        self.wfile.flush()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    def _send_head_without_length(self, request):
         self.send_response(200)
         self.send_header(SIGNATURE, f"signed.{request}")
         self.send_header("Gypsumwind-Request-Id", request)
         self.end_headers()
+
+    def _send_endless_body(self, up, request):
+        """Send bytes without end, slowly, until the caller closes the connection."""
+        self.close_connection = True
+        self._send_head_without_length(request)
         with suppress(OSError):
             self.wfile.write(b"x" * up.head_start)
             while True:
@@ -164,6 +184,9 @@
             self.send_header(SIGNATURE, f"signed.{request}")
         self.send_header("Gypsumwind-Request-Id", request)
         self.send_header("Gypsumwind-Instance-Load", "0,0,4")
+        if self.server.standin.mode == "malformed":
+            self._headers_buffer.append(self.server.standin.malformed + b"\r\n")
+            self.close_connection = True
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data[: len(data) // 2] if short else data)
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -3,12 +3,14 @@
 import math
 import socket
 
+import logbook
 import pytest
 
 from gypsumwind import stores
 from gypsumwind.connections import ConnectionPool
 from gypsumwind.core.instances import Outcome
 from gypsumwind.core.verdict import Verdict
+from gypsumwind.errors import RequestError
 from gypsumwind.exchanges import BUFFER_BYTES
 from gypsumwind.hangups import HangupTask
 from tests.standins.raw import (
@@ -17,6 +19,7 @@
     body_of,
     raw_server,
     read_as_instance,
+    read_as_probe,
     read_as_vm,
     request_body,
     resetting,
@@ -350,6 +353,35 @@
     check_broken(hangups, read, EARLY_HINTS + NAMED + LENGTH + b"\r\n")
 
 
+BROKEN = {
+    "malformed field name": OK + b"X A: 1\r\n" + LENGTH + b"\r\n" + DOC,
+    "malformed status line": SOUND.replace(b"200", b"000"),
+    "malformed Content-Length": SOUND.replace(b": 15", b": 15x"),
+    "malformed chunk size": CHUNKED + b"fx\r\n" + DOC + b"\r\n0\r\n\r\n",
+    "malformed chunk size, late": CHUNKED + b"80000\r\n%b\r\nx\r\n" % (b"x" * 2 * BUFFER_BYTES),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_log_names_what_is_malformed_and_the_instance(hangups, name):
+    with raw_server(answering(BROKEN[name])) as address, logbook.TestHandler() as lines:
+        sent = send_to_instance(address, hangups)
+        kind = name.partition(",")[0]
+        if sent.answer is None:
+            text = f"answer cut: MalformedResponseError: {kind}"
+            assert sent.error.message == text and sent.outcome == Outcome.CUT
+            assert read_as_probe(address, hangups) is None
+            event = f"probe-malformed instance='i-1' path='/health' error='{kind}'"
+        else:
+            with pytest.raises(RequestError):
+                body_of(sent.answer)
+            event = "answer-cut id='r' instance='i-1' error='answer cut: MalformedResponseError: "
+        assert read_as_vm(address, hangups) is None
+    address_event = "answer-malformed address='{}:{}' error='{}'".format(*address, kind)
+    assert [record.message for record in lines.records][1:] == [address_event]
+    assert event in lines.records[0].message
+
+
 @pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"413 Large", b"500 Failed"])
 @pytest.mark.parametrize("name", MALFORMED_LINES)
 def test_refusal_or_failure_with_a_malformed_head_tells_nothing(hangups, status, name):
--- a/tests/test_isolations.py
+++ b/tests/test_isolations.py
@@ -13,6 +13,7 @@
 from gypsumwind.core.versions import Version
 from gypsumwind.hangups import HangupTask
 from gypsumwind.isolations import MAX_CHECK_S, MAX_CHECKS, IsolationTask
+from tests.standins.raw import answering, raw_server
 from tests.standins.steered import Instance
 from tests.test_exchanges import BODIES_WITHOUT_END, UNBOUNDED, server, wait_for
 
@@ -112,3 +113,19 @@
         has_head = b"\r\n\r\n" in begin
         assert dispatch == [msg.ConnectionsChecked(True, has_head)]
         wait_for(lambda: closed)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0x\r\n\r\n",
+        b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_malformed_response_shows_that_an_instance_is_reached(head):
+    """Guards against a VM that sends its callers away although its instances respond."""
+    with raw_server(answering(head)) as address, HangupTask() as deadlines:
+        task, dispatch = make_task([upstream("i-1", port=address[1])], deadlines=deadlines)
+        task.step()
+    assert dispatch == [msg.ConnectionsChecked(True, True)]
