A connection that ends behind a chunk is told from a chunk of another size

Both are errors; only the second violates the protocol and is logged as malformed. No behaviour towards callers changes; test_framing, test_response_syntax, test_exchanges and test_senders pass.

--- a/gypsumwind/framing.py
+++ b/gypsumwind/framing.py
@@ -121,7 +121,7 @@
     """
 
     def __init__(
-        self, sock: Any, *args: Any, abort_reason: Callable[[], str] = str, **kwargs: Any
+        self, sock: Any, *args: Any, abort_reason: Callable[[], str], **kwargs: Any
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         self.reader = BoundedReader(self.fp.detach(), abort_reason)
@@ -155,7 +155,10 @@
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of a chunk, the next one's at its end; None after the last."""
         if self.chunk_left == 0:
-            if self.reader.read(2) != b"\r\n":
+            end = self.reader.read(2)
+            if len(end) < 2:
+                raise FramingError("the connection ended behind a chunk")
+            if end != b"\r\n":
                 raise MalformedResponseError("chunk without its line end")
             self.chunk_left = None
         return super()._get_chunk_left()  # type: ignore[misc]
--- a/gypsumwind/response_syntax.py
+++ b/gypsumwind/response_syntax.py
@@ -37,8 +37,8 @@
     """A response violates the syntax of the protocol; the message names the part that does."""
 
 
-def malformation(exc: BaseException) -> MalformedResponseError | None:
-    """Return the malformed response that an error, maybe one of the library, rests on."""
+def malformation(exc: Exception) -> MalformedResponseError | None:
+    """Return the error of a malformed response, also if the library has wrapped it; else None."""
     causes = (exc, *exc.args)
     return next((cause for cause in causes if isinstance(cause, MalformedResponseError)), None)
 
