A log line keeps no more than 1,000 characters of a caller's text

Callers saw: nothing yet; found while looking for bytes of strangers that are kept. Ids and paths are logged as callers send them, up to a head's 64 KB each, and 5,000 lines may wait for a blocked output: 300 MB instead of the planned 1 MB.

Evidence: on the line of an id of 60,000 characters has 60,011; the new test fails there (it has no limit to name). Ruled out: the limit of the queue in lines, which the test of a blocked output covers. Why it works: each text is cut where the line is formatted, before it is queued; its length is told instead.

--- a/gypsumwind/log.py
+++ b/gypsumwind/log.py
@@ -24,6 +24,9 @@
 MAX_QUEUED_LINES = 5000
 """Bound of the queue of lines to write: about 1 MB."""
 
+MAX_VALUE_CHARS = 1000
+"""Longest text in a line; ids and paths are as long as callers make them."""
+
 BATCH_PAUSE_S = 0.05
 """Pause of the writer, so that one write covers many lines."""
 
@@ -115,13 +118,20 @@
         self._values = values
 
     def __str__(self) -> str:
-        pairs = "".join(f" {key}={value!r}" for key, value in self._values.items())
+        pairs = "".join(f" {key}={_shortened(value)}" for key, value in self._values.items())
         return self._event + pairs
 
     def __format__(self, spec: str) -> str:
         return str(self)
 
 
+def _shortened(value: object) -> str:
+    """Return the representation of a value, of a long one its begin and its length."""
+    if isinstance(value, str) and len(value) > MAX_VALUE_CHARS:
+        return f"{value[:MAX_VALUE_CHARS]!r}...({len(value)})"
+    return repr(value)
+
+
 class QueueHandler(Handler):
     """Queues lines for a writer thread; never blocks on the output."""
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -81,3 +81,9 @@
     threading.Thread(target=read_all, args=(read_fd, text), daemon=True).start()
     wait_until(lambda: b"INFO test line number=100 " in text, text="queued lines are written")
     assert b"INFO test line number=0 " in text
+
+
+def test_long_text_of_a_caller_makes_no_long_line():
+    """Guards against a queue of lines that holds many times its planned memory."""
+    line = str(logs._LazyLine("event", {"id": "x" * 60_000, "short": "y"}))
+    assert len(line) < 2 * logs.MAX_VALUE_CHARS and "(60000)" in line and "short='y'" in line
