Long affinity keys are remembered by their hash

Callers saw: nothing yet; found while looking for bytes of strangers that are kept. A VM remembers 20,000 pairs of a key and an instance, and a rate by key, with keys as long as a head allows: a caller with a new key of 15 KB in each request fills 300 MB.

Ruled out: the number of pairs, which is bounded. Why it works: a key over 64 characters is replaced by its hash of 128 bits before anything remembers it. VMs of the version before rank homes of such keys by the key itself, so for the time of an upgrade their objects may be warm elsewhere. Result: tests/test_forwarders.py passes.

--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 
 import pykka
+import xxhash
 
 from gypsumwind import messages as msg
 from gypsumwind.calls import HOP_BY_HOP, Answer
@@ -40,6 +41,9 @@
 DEADLINE_MARGIN_S = 0.02
 """Part of a deadline that is reserved for answering the caller before it passes."""
 
+MAX_KEY_CHARS = 64
+"""Longest affinity key that is remembered as it is."""
+
 CALLER_HEADERS = ("authorization", "cookie")
 """Headers by which instances tell callers apart."""
 
@@ -111,7 +115,7 @@
         ex.body.buffer_small(MAX_REPLAY_BODY_BYTES)
         ex.body.buffer_chunked(MAX_REPLAY_BODY_BYTES)
         req = self._request(ex, rule, arrived)
-        key = ex.headers.get(self._names.affinity, "") if rule.sticky else ""
+        key = _bounded_key(ex.headers.get(self._names.affinity, "")) if rule.sticky else ""
         service = rule.service_for(req.id)
         exclude: frozenset[str] = frozenset()
         ambiguous_error: RequestError | None = None
@@ -295,6 +299,13 @@
         )
 
 
+def _bounded_key(key: str) -> str:
+    """Return an affinity key, or the hash of a long one: many keys are remembered."""
+    if len(key) <= MAX_KEY_CHARS:
+        return key
+    return str(xxhash.xxh3_128_hexdigest(key.encode("utf-8", "replace")))
+
+
 def _fingerprint(ex: Exchange) -> str:
     """Return the fingerprint of a request, once its body is buffered or known to be streamed."""
     caller = (ex.headers.get(name, "") for name in CALLER_HEADERS)
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -14,7 +14,7 @@
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.exchanges import SendResult
-from gypsumwind.forwarders import Forwarder
+from gypsumwind.forwarders import Forwarder, _bounded_key
 from gypsumwind.platform.headers import HEADERS
 from gypsumwind.utils import monotonic
 
@@ -133,3 +133,11 @@
 def test_ambiguous_verdict_is_kept_when_the_last_attempt_was_shed():
     _, error, _ = serve_request(RequestKind.IDEMPOTENT, ["cut-ran", "shed"], 2, 9, 9)
     assert (error.status, error.verdict) == (502, Verdict.MAY_HAVE_RUN)
+
+
+def test_long_affinity_keys_are_remembered_by_their_hash():
+    """Guards against keys as long as a head, of which thousands are kept."""
+    short, one, other = "k" * 64, "k" * 16_000, "k" * 15_999 + "j"
+    assert _bounded_key(short) == short
+    assert len(_bounded_key(one)) <= 64 and _bounded_key(one) == _bounded_key(one)
+    assert _bounded_key(one) != _bounded_key(other)
