Keys that are remembered have at most 256 characters, and callers make no labels of metrics

Callers saw: nothing yet; found while looking for bytes of strangers that are kept (owned way). Up to 100,000 idempotency keys and the ids of all attempts of two minutes are remembered, each as long as a head allows; and the text of the class header became a label of the metrics before it was checked, a time series for each text.

Evidence: tests/test_pages.py fails on (3 of 3: a key of 257 characters is taken, the labels are high, x1, x2). Ruled out: tenants, whose labels are bounded; services, which must be in the table. Why it works: longer keys get 400, not run, before anything is remembered; the label is the class that the request is served in. Result: tests/test_pages.py, 3 passed.

--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -46,6 +46,8 @@
 DEFAULT_TENANT = "-"
 BUSY_RETRY_S = 1.0
 CLOCK_SKEW_S = 2.0
+MAX_KEY_CHARS = 256
+"""Longest idempotency key and id of an attempt; many are remembered."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,11 +79,17 @@
         tenant=headers.get(H_TENANT, DEFAULT_TENANT),
         deadline=_deadline(cfg, headers),
         origin_region=headers.get(H_ORIGIN_REGION, cfg.region),
-        key=_key(ex),
-        attempt=headers.get(H_ATTEMPT, ""),
+        key=_bounded(H_KEY, _key(ex)),
+        attempt=_bounded(H_ATTEMPT, headers.get(H_ATTEMPT, "")),
     )
 
 
+def _bounded(name: str, text: str) -> str:
+    if len(text) > MAX_KEY_CHARS:
+        raise _bad_request(f"{name}: {len(text)} characters, allowed {MAX_KEY_CHARS}")
+    return text
+
+
 def _key(ex: Exchange) -> str:
     return ex.headers.get(H_KEY, "").strip('"')
 
@@ -161,7 +169,7 @@
         started = time.monotonic()
         service, _, rest = ex.target[len(CALL_PREFIX) :].partition("/")
         tenant = ex.headers.get(H_TENANT, DEFAULT_TENANT)
-        priority = ex.headers.get(H_CLASS, "normal")
+        priority = Priority(_priority_or_lowest(ex)).name.lower()
         verdict, code = Verdict.MAY_HAVE_RUN, "cut"
         try:
             verdict, code = self._serve(ex, service, "/" + rest)
