Heads and bodies of callers are read by a reader of the project's own, with limits from the first connection

Cause: the library reads. Its limits are 0, none, until a task sets them within a second of the configuration, and only on the port for callers; its reader of chunks takes a whole chunk and an unbounded line, in many calls of Python for each chunk, and leaves trailers on the connection; a thread waits for each head.

Change: `streams` (what a caller has sent, bounded), `request_bodies` (bodies by length or in chunks, by the grammar that answers are read by; trailers are read and dropped; small chunks are decoded by one thread at a time, for half of the time) and `callers` (a connection takes a thread only once its head is whole). Limits are those of the configuration in force at each request, the defaults before; a head that was read before is checked again. A body has to arrive by the request's deadline. Pages drop the short rest of a body or close. A body that was streamed to its end keeps its connection.

Ruled out: the selector's own reads as a cause of cost (as many system calls as before). `Content-Length: +5` is refused by the grammar where the reader meets it; the rest of that class is left to a later issue.

Why it works: every byte up to a body's end passes one reader, which holds a block and the line that it reads. The stand-in's instance reads chunks in linear time.

--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -1,17 +1,23 @@
 """A caller's request and its response, which pass through a daemon with bounded buffers."""
 
 from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 from typing import Protocol
 
 from gypsumwind.core.admission import Priority
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
+from gypsumwind.streams import BodyError
 from gypsumwind.utils import monotonic, wall
 
 CHUNK_BYTES = 65536
 MAX_REPLAY_BYTES = 65536
 
+BODY_RETRY_S = 0.5
+"""Retry-After for a request whose body did not arrive in time, in seconds."""
+
 H_TIMEOUT = "gypsumwind-timeout-ms"
 H_DEADLINE = "gypsumwind-deadline"
 H_CLASS = "gypsumwind-class"
@@ -50,42 +56,52 @@
     """A source of the bytes of a body."""
 
     def read(self, size: int) -> bytes:
-        """Return at most `size` bytes, none at the end."""
+        """Return at most `size` bytes, none at the end; BodyError if the body is not sound."""
         ...
 
 
 class Body:
     """A request body: a small one is buffered for retries, a large one is streamed once."""
 
-    __slots__ = ("length", "_reader", "_buffered", "_started", "_pending")
+    __slots__ = (
+        "length",
+        "_reader",
+        "_buffered",
+        "_pending",
+        "_received",
+        "_started",
+        "_ended",
+        "_broken",
+    )
 
     def __init__(self, reader: Reader, length: int | None) -> None:
         self.length = length
         self._reader = reader
         self._buffered: bytes | None = None
+        self._pending = bytearray()
+        self._received = 0
         self._started = False
-        self._pending: list[bytes] = []
+        self._ended = length == 0
+        self._broken = False
 
     def buffer_small(self, max_bytes: int = MAX_REPLAY_BYTES) -> None:
         """Buffer a body of a known small length, so that it can be sent again."""
         if self.length is not None and self.length <= max_bytes:
-            self._buffered = self._read_exactly(self.length)
+            self._buffer(self.length)
 
     def buffer_chunked(self, max_bytes: int) -> None:
         """Buffer a body of unknown length up to `max_bytes`; if complete, it can be sent again."""
-        if self.length is not None:
-            return
-        parts: list[bytes] = []
-        size = 0
-        while size <= max_bytes:
-            chunk = self._read(CHUNK_BYTES)
-            if not chunk:
-                self._buffered = b"".join(parts)
-                self.length = size
-                return
-            parts.append(chunk)
-            size += len(chunk)
-        self._pending = parts
+        if self.length is None:
+            self._buffer(max_bytes + 1)
+
+    def _buffer(self, max_bytes: int) -> None:
+        """Buffer up to `max_bytes`."""
+        data = self._pending
+        while not self._ended and len(data) < max_bytes:
+            data += self._read(min(CHUNK_BYTES, max_bytes - len(data)))
+        if self._ended:
+            self._buffered, self.length = bytes(data), len(data)
+            self._pending = bytearray()
 
     @property
     def replayable(self) -> bool:
@@ -100,7 +116,7 @@
     @property
     def unread(self) -> bool:
         """Return whether bytes of the body may be left on the caller's connection."""
-        return self._buffered is None and self.length != 0
+        return not self._ended
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body; RequestError if the caller truncates it."""
@@ -109,36 +125,45 @@
                 yield self._buffered
             return
         self._started = True
-        yield from self._pending
-        self._pending = []
-        left = self.length
-        while left is None or left > 0:
-            size = CHUNK_BYTES if left is None else min(CHUNK_BYTES, left)
-            chunk = self._read(size)
-            if not chunk and left:
-                raise _truncated_body()
-            if not chunk:
-                return
-            left = None if left is None else left - len(chunk)
+        while self._pending:
+            chunk = bytes(self._pending[:CHUNK_BYTES])
+            del self._pending[:CHUNK_BYTES]
+            yield chunk
+        while not self._ended and (chunk := self._read(CHUNK_BYTES)):
             yield chunk
 
-    def _read_exactly(self, length: int) -> bytes:
-        data = self._read(length) if length else b""
-        if len(data) < length:
-            raise _truncated_body()
-        return data
+    def discard(self, max_bytes: int) -> None:
+        """Read and drop the rest of the body if it is sound and has at most `max_bytes`."""
+        if self.length is not None and self.length - self._received > max_bytes:
+            return
+        with suppress(RequestError):
+            while not self._ended and not self._broken and max_bytes > 0:
+                max_bytes -= len(self._read(min(CHUNK_BYTES, max_bytes)))
 
     def _read(self, size: int) -> bytes:
+        """Read at most `size` bytes; RequestError if the body is malformed, late or cut short."""
+        if self.length is not None:
+            size = min(size, self.length - self._received)
         try:
-            return self._reader.read(size)
-        except OSError as exc:
-            raise _truncated_body() from exc
-
-
-def _truncated_body() -> RequestError:
-    return RequestError(
-        Code.BAD_REQUEST, "the request's body was cut short", Verdict.MAY_HAVE_RUN, 400
-    )
+            chunk = self._reader.read(size)
+            if not chunk and self.length is not None:
+                raise BodyError(HTTPStatus.BAD_REQUEST, "the request's body was cut short")
+        except BodyError as exc:
+            self._broken = True
+            raise self._failure(exc) from exc
+        self._received += len(chunk)
+        self._ended = not chunk if self.length is None else self._received == self.length
+        return chunk
+
+    def _failure(self, exc: BodyError) -> RequestError:
+        """Return the error for the caller; nothing has run unless a part was passed on."""
+        status = exc.status
+        if not self._started:
+            retry_s = BODY_RETRY_S if status == HTTPStatus.REQUEST_TIMEOUT else None
+            return RequestError(Code.BAD_REQUEST, exc.message, Verdict.NOT_RUN, status, retry_s)
+        if status == HTTPStatus.REQUEST_TIMEOUT:
+            status = HTTPStatus.GATEWAY_TIMEOUT
+        return RequestError(Code.BAD_REQUEST, exc.message, Verdict.MAY_HAVE_RUN, status)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/core/rules.py
+++ b/gypsumwind/core/rules.py
@@ -98,6 +98,9 @@
     idle_s: float = DEFAULT_IDLE_S
 
 
+DEFAULT_LIMITS = CallerLimits()
+
+
 @dataclass(slots=True, frozen=True)
 class Ruleset:
     """One complete configuration; `rules` by host, the longest prefix first."""
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -12,6 +12,7 @@
 from gypsumwind.actors import TickTask
 from gypsumwind.claims import KeyClaims
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
+from gypsumwind.core.rules import CallerLimits
 from gypsumwind.gateways import ZoneGateway
 from gypsumwind.gossip import GossipTask, PushTask
 from gypsumwind.handoffs import Handoffs
@@ -29,6 +30,7 @@
 from gypsumwind.permits import GateActor
 from gypsumwind.probes import HealthTask
 from gypsumwind.records import RecordsActor
+from gypsumwind.response_syntax import MAX_BODY_BYTES
 from gypsumwind.routers import ZoneRouter
 from gypsumwind.servers import Server
 from gypsumwind.settings import Settings
@@ -43,6 +45,9 @@
 
 POLL_S = 0.1
 
+LIMITS = CallerLimits(body_bytes=MAX_BODY_BYTES)
+"""Bodies are streamed whatever their length."""
+
 
 class DrainTask(Task):
     """Applies the draining VMs of the places document: this VM leaves, or resumes."""
@@ -171,9 +176,19 @@
         )
         enter = self._stack.enter_context
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
-        threads = cfg.threads
-        enter(Server("handoff", cfg.ip, cfg.handoff_port, threads, self._handoffs.handle))
-        enter(Server("caller", cfg.ip, cfg.caller_port, threads, self._callers.handle))
+        for name, port, handler in (
+            ("handoff", cfg.handoff_port, self._handoffs),
+            ("caller", cfg.caller_port, self._callers),
+        ):
+            server = Server(
+                name,
+                cfg.ip,
+                port,
+                cfg.threads,
+                handler.handle,
+                limits=lambda: LIMITS,
+            )
+            enter(server)
 
     def _ready(self) -> bool:
         return self._joined.is_set() and bool(self._snapshots.places.zones)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -22,7 +22,13 @@
 from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.restores import ZoneClosures, zone_closures_to_json
-from gypsumwind.core.rules import Ruleset, ruleset_from_json, ruleset_to_json
+from gypsumwind.core.rules import (
+    DEFAULT_LIMITS,
+    CallerLimits,
+    Ruleset,
+    ruleset_from_json,
+    ruleset_to_json,
+)
 from gypsumwind.core.stops import GracefulShutdown, ShutdownPhase
 from gypsumwind.core.upstreams import UpstreamList, upstream_from_json, upstreams_to_json
 from gypsumwind.core.versions import Version
@@ -35,7 +41,6 @@
 from gypsumwind.fronts import ForwardingHandler
 from gypsumwind.gossip import GossipPolicy, GossipTask, PushTask
 from gypsumwind.hangups import HangupTask
-from gypsumwind.heads import HeadTimeouts
 from gypsumwind.isolations import IsolationTask
 from gypsumwind.joins import AnnounceTask, JoinTask, Registry
 from gypsumwind.log import Log
@@ -55,7 +60,7 @@
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
 from gypsumwind.relays import FOLLOW_LONG_POLL_S, Codec, RelayHub
-from gypsumwind.servers import IDLE_CHECK_S, Server
+from gypsumwind.servers import IDLE_CHECK_S, Handler, Server
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.spares import SpareTask
@@ -88,8 +93,11 @@
 """Records for which a fresh feed is at least as recent as any peer. The rules are not among them: a
 restored store may have lost a configuration that peers still have."""
 
+PAGE_THREADS = 4
+"""Threads of a server of pages."""
+
 SWEEP_INTERVAL_S = 1.0
-"""Interval between sweeps for connections that have been idle or slow for too long."""
+"""Interval between sweeps for connections that have been idle for too long."""
 
 STOP_POLL_INTERVAL_S = 0.05
 """Interval at which a graceful shutdown checks the requests in flight."""
@@ -105,28 +113,15 @@
 
 
 class SweepTask(Task):
-    """Closes idle connections to instances and connections of callers that send too slowly.
+    """Closes connections to instances that have been idle for too long."""
 
-    Changed caller limits in the configuration take effect within `SWEEP_INTERVAL_S`.
-    """
-
-    def __init__(
-        self, connections: ConnectionPool, heads: HeadTimeouts, server: Server, snapshots: Snapshots
-    ) -> None:
+    def __init__(self, connections: ConnectionPool) -> None:
         super().__init__("sweep", SWEEP_INTERVAL_S)
         self._connections = connections
-        self._heads = heads
-        self._server = server
-        self._snapshots = snapshots
 
     def step(self) -> None:
-        """Apply the current limits and close the connections that exceed them."""
-        rules = self._snapshots.rules
-        if rules is not None:
-            self._heads.limit_s = rules.limits.header_s
-            self._server.set_limits(rules.limits)
+        """Close the connections that exceed the limit."""
         self._connections.sweep()
-        self._heads.sweep()
 
 
 class Feeds:
@@ -239,12 +234,15 @@
         self._front = ForwardingHandler(
             cfg, snapshots, forwarder, self._hangups, metrics, self._names
         )
-        heads = HeadTimeouts()
-        connections = connection_class(
-            self._front.start_pipelined, lambda: not snapshots.leaving, heads
-        )
+        connections = connection_class(self._front.start_pipelined, lambda: not snapshots.leaving)
         self._server = Server(
-            "caller", cfg.ip, cfg.caller_port, cfg.threads, self._front.handle, connections
+            "caller",
+            cfg.ip,
+            cfg.caller_port,
+            cfg.threads,
+            self._front.handle,
+            connections,
+            self._caller_limits,
         )
         enter(self._server)
         self._announce = AnnounceTask(
@@ -264,7 +262,7 @@
             gossip,
             SpareTask(self._connections, cfg.ip),
             IsolationTask(cfg, snapshots, self._dispatch, rng, self._hangups),
-            SweepTask(self._connections, heads, self._server, snapshots),
+            SweepTask(self._connections),
             JoinTask(cfg, gossip, lambda: snapshots.rules is not None, self._joined),
             *feed_tasks.values(),
         ]
@@ -279,6 +277,15 @@
             first_start=self._steering.first_start,
         )
 
+    def page_server(self, name: str, ip: str, port: int, handler: Handler) -> Server:
+        """Return a server of pages."""
+        return Server(name, ip, port, PAGE_THREADS, handler)
+
+    def _caller_limits(self) -> CallerLimits:
+        """Return the limits of callers in force: the defaults until the configuration is known."""
+        rules = self.snapshots.rules
+        return DEFAULT_LIMITS if rules is None else rules.limits
+
     def _start_members(self, enter: Any) -> None:
         cfg = self._cfg
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -88,7 +88,7 @@
         self._tickets = itertools.count(1)
 
     def rule_for(self, ex: Exchange) -> Rule:
-        """Return the rule of a request; RequestError if none matches or the body is too long."""
+        """Return the rule of a request; RequestError if none matches or the request is too long."""
         rules = self._snapshots.rules
         if rules is None:
             text = "this VM has not learnt its configuration yet"
@@ -99,6 +99,9 @@
         if rule is None:
             text = f"no rule of version {rules.version} takes {ex.path!r}"
             raise RequestError(Code.UNKNOWN_SERVICE, text, Verdict.NOT_RUN, 404)
+        if ex.head_bytes > rules.limits.header_bytes:
+            # It was read before the configuration was known.
+            raise RequestError(Code.BAD_REQUEST, "the head is too long", Verdict.NOT_RUN, 413)
         length = ex.body.length
         if length is not None and length > rules.limits.body_bytes:
             raise RequestError(Code.BAD_REQUEST, "the body is too long", Verdict.NOT_RUN, 413)
@@ -112,6 +115,7 @@
 
     def serve(self, ex: Exchange, rule: Rule, arrived: float) -> Answer:
         """Return the response to a request; RequestError if no instance responds in time."""
+        ex.limit_body(self.deadline_of(ex, rule, arrived))
         ex.body.buffer_small(MAX_REPLAY_BODY_BYTES)
         ex.body.buffer_chunked(MAX_REPLAY_BODY_BYTES)
         req = self._request(ex, rule, arrived)
--- a/gypsumwind/pages.py
+++ b/gypsumwind/pages.py
@@ -198,6 +198,7 @@
     def _serve_watched(self, ex: Exchange, service: str, path: str) -> tuple[Verdict, str]:
         """Serve a call; cancel its work if the caller disconnects."""
         call = read_call(self._cfg, ex, service, path)
+        ex.limit_body(call.deadline)
         call.body.buffer_small()
         with self._parts.hangups.cancel_on_hangup(ex.socket):
             answer = self._route(call)
@@ -308,6 +309,7 @@
             text = "the attempt was voided, came twice, or came late"
             raise RequestError(Code.ATTEMPT_VOIDED, text, Verdict.NOT_RUN, 409)
         try:
+            ex.limit_body(call.deadline)
             call.body.buffer_small()
             answer = self._hop(ex.headers.get(H_HOP, ""), call)
         except RequestError as exc:
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -12,10 +12,10 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
-from cheroot.server import HTTPConnection, HTTPRequest, KnownLengthRFile
+from urllib3.util import wait_for_read
 
+from gypsumwind.callers import CallerConnection, CallerRequest
 from gypsumwind.hangups import RESET_ON_CLOSE
-from gypsumwind.heads import HeadRead, HeadTimeouts
 from gypsumwind.log import Log
 
 log = Log("pipelines")
@@ -26,13 +26,10 @@
 HELPER_THREADS = 48
 """Threads for pipelined requests that start before their turn."""
 
-REQUEST_TIMEOUT = "408 Request Timeout"
-"""Response to a head that was not complete in time: the request has not run."""
-
 Begin = Callable[["PipelinedRequest"], None]
 
 
-class PipelinedRequest(HTTPRequest):
+class PipelinedRequest(CallerRequest):
     """A request that may be read, and started, before its turn on the connection."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -41,7 +38,6 @@
         self.early_result: Future | None = None
         self._read_ahead = False
         self._refusal: tuple[str, str] | None = None
-        self._head: HeadRead | None = None
 
     @property
     def bodiless(self) -> bool:
@@ -52,30 +48,20 @@
     def read_ahead(self) -> None:
         """Read the request before its turn; the error response to a malformed one waits for it."""
         self._read_ahead = True
-        self._read_head()
+        super().parse_request()
         if self.ready and self.bodiless:
-            self.rfile = KnownLengthRFile(self.conn.rfile, 0)
+            self.rfile = self.body_reader()
 
     def parse_request(self) -> None:
         """Read the request unless it was read ahead; send a deferred error response."""
         if not self._read_ahead:
-            self._read_head()
+            super().parse_request()
         elif self._refusal is not None:
             self._read_ahead = False
             super().simple_response(*self._refusal)
 
-    def _read_head(self) -> None:
-        """Read the head of the request within the time limit for it."""
-        with self.conn.heads.reading(self.conn.socket) as self._head:
-            super().parse_request()
-        if self._head.timed_out and self.ready:
-            self.ready = False
-            self.simple_response(REQUEST_TIMEOUT)
-
     def simple_response(self, status: str, msg: str = "") -> None:
-        """Send the error response to a malformed or slow request, deferred to its turn."""
-        if self._head is not None and self._head.timed_out:
-            status, msg = REQUEST_TIMEOUT, ""
+        """Send the error response to a malformed request, deferred to its turn."""
         if self._read_ahead and not self.ready:
             self._refusal = (status, msg)
             self.close_connection = True
@@ -108,7 +94,7 @@
             self._conn.may_read_ahead = False
 
 
-class PipelinedConnection(HTTPConnection):
+class PipelinedConnection(CallerConnection):
     """A caller's connection and the requests that were read ahead on it.
 
     `resets`: its response was cut, and only a reset tells its caller so.
@@ -117,7 +103,6 @@
     helpers: ThreadPoolExecutor
     begin: Begin
     allowed: Callable[[], bool]
-    heads: HeadTimeouts
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -173,8 +158,12 @@
             self._reading = False
 
     def _read_requests(self) -> None:
-        """Read one request, and further ones while bytes are buffered."""
+        """Read the requests whose heads have arrived."""
         while self.may_read_ahead and self.allowed() and len(self.ahead) < MAX_PIPELINED:
+            if not self.has_head():
+                if wait_for_read(self.socket, timeout=0.0) and self.rfile.receive():
+                    continue
+                return
             req = PipelinedRequest(self.server, self)
             req.read_ahead()
             self.ahead.append(req)
@@ -182,8 +171,6 @@
                 self.may_read_ahead = False
                 return
             type(self).begin(req)
-            if not self.rfile.has_data():
-                return
 
     def close(self) -> None:
         """Close the connection and abandon the requests that started early on it."""
@@ -200,9 +187,7 @@
             super()._close_kernel_socket()  # type: ignore[misc]
 
 
-def connection_class(
-    begin: Begin, allowed: Callable[[], bool], heads: HeadTimeouts
-) -> type[PipelinedConnection]:
+def connection_class(begin: Begin, allowed: Callable[[], bool]) -> type[PipelinedConnection]:
     """Return a connection class; `begin` starts a request, `allowed` permits to read ahead."""
     helpers = ThreadPoolExecutor(HELPER_THREADS, thread_name_prefix="ahead")
     return type(
@@ -212,6 +197,5 @@
             "helpers": helpers,
             "begin": staticmethod(begin),
             "allowed": staticmethod(allowed),
-            "heads": heads,
         },
     )
--- a/gypsumwind/platform/__main__.py
+++ b/gypsumwind/platform/__main__.py
@@ -19,13 +19,11 @@
 from gypsumwind.platform.reload import ReloadTask
 from gypsumwind.platform.settings import PlatformSettings, read_platform_settings
 from gypsumwind.platform.store import KindFeed, PlatformStore, VmRegistry
-from gypsumwind.servers import Server
 from gypsumwind.signals import StopSignals
 
 SETTINGS_VARIABLE = "GYPSUMWIND_SETTINGS"
 DEFAULT_SETTINGS = "/etc/gypsumwind/settings.conf"
 EXIT_SETTINGS = 2
-PAGE_THREADS = 4
 
 
 @click.command("gypsumwind.platform")
@@ -64,7 +62,7 @@
         stack.enter_context(daemon)
         for name in ("readiness", "directory", "control"):
             ip, port = getattr(settings, name)
-            stack.enter_context(Server(name, ip, port, PAGE_THREADS, pages.handle))
+            stack.enter_context(daemon.page_server(name, ip, port, pages.handle))
         stack.enter_context(reload)
         stop_signals.wait()
         daemon.stop()
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -4,7 +4,6 @@
 import math
 import sys
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from contextlib import suppress
@@ -14,8 +13,9 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from cheroot.server import Gateway, HTTPConnection, HTTPServer
+from cheroot.server import Gateway, HTTPServer
 
+from gypsumwind.callers import CallerConnection, WaitingConnections
 from gypsumwind.calls import (
     H_CODE,
     H_INSTANCE,
@@ -29,13 +29,17 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.log import Log
 from gypsumwind.pools import GrowingPool
+from gypsumwind.utils import monotonic
 
 log = Log("servers")
 
 BACKLOG = 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 4096
-SOCKET_TIMEOUT_S = 30
 MAX_DISCARDED_BYTES = 65536
+DISCARD_S = 0.03
+"""Longest wait for the rest of a body that is not used, before the response, in seconds: callers
+send short bodies along with the head."""
+
 LINGER_S = 2.0
 """Longest lingering close after a response to a request whose body was not read, in seconds."""
 
@@ -70,7 +74,8 @@
     __slots__ = (
         "method",
         "path",
-        "query",
+        "head_bytes",
+        "_query",
         "headers",
         "body",
         "target",
@@ -87,25 +92,29 @@
         self.on_abandon: Callable[[], None] | None = None
         self.method = req.method.decode("ascii", "replace")
         self.target = req.uri.decode("latin-1")
-        self.path, _, query = self.target.partition("?")
-        self.query = {name: values[-1] for name, values in parse_qs(query).items()}
+        self.path, _, self._query = self.target.partition("?")
+        self.head_bytes = req.head_bytes
         self.headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in req.inheaders.items()
         }
-        self.body = Body(req.rfile, self._body_length())
+        length = None if req.chunked_read else int(req.inheaders.get(b"Content-Length", b"0"))
+        self.body = Body(req.rfile, length)
 
-    def _body_length(self) -> int | None:
-        if "chunked" in self.headers.get("transfer-encoding", "").lower():
-            return None
-        length = self.headers.get("content-length", "0")
-        return int(length) if length.isdecimal() else 0
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the last value of each parameter in the query."""
+        return {name: values[-1] for name, values in parse_qs(self._query).items()}
 
     @property
     def socket(self) -> Any:
         """Return the caller's socket."""
         return self._req.conn.socket
 
+    def limit_body(self, deadline: float) -> None:
+        """Set the time by which the body has to arrive, on this process's clock."""
+        self._req.conn.rfile.deadline = deadline
+
     def on_readable(self) -> None:
         """Start to read the caller's pipelined requests, whose bytes arrived during this one."""
         more = getattr(self._req.conn, "more", None)
@@ -125,12 +134,17 @@
     def send_json(self, status: int, doc: Any) -> None:
         """Send a JSON document."""
         data = (json.dumps(doc, indent=2) + "\n").encode()
-        self._send_head(status, [("Content-Type", "application/json")], len(data))
-        self._req.write(data)
+        self._send_page(status, data, "application/json")
 
     def send_bytes(self, data: bytes, content_type: str) -> None:
         """Send bytes with status 200."""
-        self._send_head(200, [("Content-Type", content_type)], len(data))
+        self._send_page(200, data, content_type)
+
+    def _send_page(self, status: int, data: bytes, content_type: str) -> None:
+        """Send a page; the connection is closed if the request has a body that does not end."""
+        if not self._discard_body():
+            self._req.close_connection = True
+        self._send_head(status, [("Content-Type", content_type)], len(data))
         self._req.write(data)
 
     def send_response(self, answer: Answer, vm: str, closing: bool) -> None:
@@ -165,9 +179,9 @@
 
         With `fractions`, for callers that parse them, Retry-After is not rounded to whole seconds.
         """
-        rest = self._discard_body()
+        rest = not self._discard_body()
         closing = closing and not self.has_pipelined
-        if closing:
+        if closing or rest:
             self._req.close_connection = True
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
@@ -189,28 +203,26 @@
             self._linger(LINGER_S if rest else CLOSE_LINGER_S)
 
     def _discard_body(self) -> bool:
-        """Discard a small unread rest of the body; return whether a large one is left unread."""
-        if not self.body.unread:
-            return False
-        remaining = getattr(self._req.rfile, "remaining", None)
-        if remaining is None or remaining > MAX_DISCARDED_BYTES:
-            self._req.close_connection = self.body.length != 0
-            return self._req.close_connection
-        if remaining:
-            self._req.rfile.read(remaining)
-        return False
+        """Discard a short rest of the body that arrives at once; return whether it has ended."""
+        if self.body.unread:
+            self.limit_body(monotonic() + DISCARD_S)
+            self.body.discard(MAX_DISCARDED_BYTES)
+        return not self.body.unread
 
     def _linger(self, seconds: float) -> None:
         """Keep reading for a while after the response: a reset would discard it at the caller."""
-        until = time.monotonic() + seconds
+        until = monotonic() + seconds
         with suppress(Exception):
             self._req.conn.wfile.flush()
             self.socket.settimeout(seconds)
-            while time.monotonic() < until and self.socket.recv(MAX_DISCARDED_BYTES):
+            while monotonic() < until and self.socket.recv(MAX_DISCARDED_BYTES):
                 continue
 
     def _send_head(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
         req = self._req
+        if req.conn.rfile.has_own_timeout:
+            req.conn.rfile.has_own_timeout = False
+            self.socket.settimeout(req.server.timeout)
         self.response_started = True
         req.status = _status_line(status)
         pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
@@ -240,7 +252,41 @@
 
 
 class _Server(HTTPServer):
-    """A cheroot server that logs its exceptions as structured events, not as stack traces."""
+    """A cheroot server with limits from the first connection on.
+
+    It logs its exceptions as structured events, not as stack traces.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        gateway: type[Gateway],
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        super().__init__(address, gateway)
+        self.limits = limits
+        self.listening = True
+
+    @property
+    def max_request_header_size(self) -> int:  # type: ignore[override]
+        """Return the most bytes of a head."""
+        return self.limits().header_bytes
+
+    @property
+    def max_request_body_size(self) -> int:  # type: ignore[override]
+        """Return the most bytes of a body."""
+        return self.limits().body_bytes
+
+    @property
+    def timeout(self) -> int:  # type: ignore[override]
+        """Return the longest time, in seconds, for which a connection may be idle."""
+        return math.ceil(self.limits().idle_s) if self.listening else 0
+
+    def prepare(self) -> None:
+        """Listen, and start the first threads."""
+        super().prepare()
+        vars(self)["_connections"].close()
+        self._connections = WaitingConnections(self)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log unexpected exceptions; an OSError is a connection that was closed."""
@@ -248,22 +294,19 @@
         if isinstance(fault, Exception) and not isinstance(fault, OSError):
             internal_error(fault)
 
-    def process_conn(self, conn: HTTPConnection) -> None:
-        """Queue a connection for a thread; a new connection waits for its first bytes."""
-        if conn.last_used is None:
-            self.put_conn(conn)
-        else:
-            super().process_conn(conn)
-
     def close_listener(self) -> None:
         """Stop accepting connections; the library has no call for it except a full stop."""
+        self.listening = False
         sock = self.socket
-        vars(self)["_connections"]._selector.unregister(sock.fileno())
+        self._connections.stop_accepting(sock)
         sock.close()
 
 
 class Server:
-    """An HTTP server that passes requests to a handler, each in a thread, up to a limit."""
+    """An HTTP server that passes requests to a handler, each in a thread, up to a limit.
+
+    `limits` returns those of callers that are in force.
+    """
 
     def __init__(
         self,
@@ -272,7 +315,8 @@
         port: int,
         threads: int,
         handler: Handler,
-        connections: type[HTTPConnection] = HTTPConnection,
+        connections: type[CallerConnection] = CallerConnection,
+        limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
         class HandlerGateway(Gateway):
             """Passes each request to the handler."""
@@ -281,32 +325,21 @@
                 """Handle the request."""
                 handler(getattr(self.req, "exchange", None) or Exchange(self.req))
 
-        self._http = _Server((ip, port), HandlerGateway)
+        self._http = _Server((ip, port), HandlerGateway, limits)
         self._http.requests = GrowingPool(self._http, threads)
         self._http.ConnectionClass = connections
         self._http.request_queue_size = BACKLOG
-        self._http.timeout = SOCKET_TIMEOUT_S
         self._http.server_name = "gypsumwind"
         self._http.expiration_interval = IDLE_CHECK_S
         self._http.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
-        self._listening = True
-
-    def set_limits(self, limits: CallerLimits) -> None:
-        """Set the size limits of requests and the idle timeout of connections."""
-        self._http.max_request_header_size = limits.header_bytes
-        self._http.max_request_body_size = limits.body_bytes
-        if self._listening:
-            self._http.timeout = math.ceil(limits.idle_s)
 
     def _serve(self) -> None:
         self._http.serve()
 
     def close_listener(self) -> None:
         """Stop accepting connections; idle ones are closed within `IDLE_CHECK_S`."""
-        self._listening = False
         self._http.close_listener()
-        self._http.timeout = 0
 
     def __enter__(self) -> "Server":
         self._http.prepare()
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SIGNATURE = "Gypsumwind-Response-Signature"
+LARGE_BYTES = 16 * 1024 * 1024
 
 
 class Instance(StandIn):
@@ -28,7 +29,8 @@
     `mode`: ok, shed, cut (runs, then closes without a response), short (half of the body), extra
     (a second response), endless (a body without a length that never ends, `head_start` bytes of it
     at once), malformed (as ok, with `malformed` as another line of the head), reset (a part of a
-    body without a length before it has read the request's, then a reset), unsigned or fail (500).
+    body without a length before it has read the request's, then a reset), unsigned, fail (500) or
+    large (a body of LARGE_BYTES).
     `headers` are sent with every response but a 421.
     `arrivals` has the time of each request in `received`.
 
@@ -109,6 +111,8 @@
             return
         status = 500 if up.mode == "fail" else 200
         data = f"{up.name} {request}\n".encode() * 20
+        if up.mode == "large":
+            data = b"l" * LARGE_BYTES
         self._answer(status, data, request, signed=up.mode != "unsigned", short=up.mode == "short")
         if up.mode == "extra":
             self._answer(200, b"of nobody", "other", signed=True)
@@ -138,14 +142,14 @@
             length = int(self.headers.get("Content-Length", "0"))
             data = self.rfile.read(length)
             return data if len(data) == length else None
-        data = b""
+        data = bytearray()
         while size := int(self.rfile.readline() or b"-1", 16):
             chunk = self.rfile.read(size) if size > 0 else b""
             if len(chunk) < size or size < 0:
                 return None
             data += chunk
             self.rfile.readline()
-        return data if self.rfile.readline() else None
+        return bytes(data) if self.rfile.readline() else None
 
     def _send_part_and_reset(self, up, request):
         """Answer before the body is read; the close with unread bytes resets the connection."""
@@ -210,6 +214,7 @@
         seeds = seeds or [vm.ip for vm in self.fleet.vms.values()][:3] or [self.ip]
         store, first_start = self.fleet.store.address, self.process is None
         lines = settings_lines(self.name, self.ip, self.zone, store, seeds, first_start)
+        lines += self.fleet.settings
         self.path.write_text("\n".join(lines))
         env = {**os.environ, "GYPSUMWIND_SETTINGS": str(self.path)}
         with self.log_path.open("ab") as log:
@@ -254,10 +259,13 @@
 
 
 class DirectFleet:
-    """A platform store, instances and daemons on the loopback addresses of `block`."""
+    """A platform store, instances and daemons on the loopback addresses of `block`.
 
-    def __init__(self, folder, block, instances=(), vms=("a1",)):
-        self.folder, self.block = folder, block
+    `settings` are further lines of the daemons' settings files.
+    """
+
+    def __init__(self, folder, block, instances=(), vms=("a1",), settings=()):
+        self.folder, self.block, self.settings = folder, block, list(settings)
         self.store = PlatformStore()
         self.instances = {name: Instance(name) for name, *_ in instances}
         self._instance_specs = list(instances)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,91 @@
+"""Tests of callers' connections on a server without a daemon."""
+
+import re
+import socket
+from contextlib import ExitStack, contextmanager
+
+import pytest
+
+from gypsumwind.core.rules import CallerLimits
+from gypsumwind.servers import Server
+
+PORT = 18497
+LIMITS = CallerLimits(header_bytes=1000, body_bytes=5000, header_s=60, idle_s=60)
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@contextmanager
+def serving(handler=None, limits=LIMITS, **values):
+    handler = handler or (lambda ex: ex.send_bytes(b"page", "text/plain"))
+    values = {"limits": lambda: limits, **values}
+    with Server("test", "127.0.0.1", PORT, 4, handler, **values) as server:
+        yield server
+
+
+def connect():
+    return socket.create_connection(("127.0.0.1", PORT), 30)
+
+
+def status_of(sock):
+    """Return the status of the next response, 0 if the connection ends before it."""
+    try:
+        data = sock.recv(65536)
+    except ConnectionResetError:
+        return 0
+    return int(data.split()[1]) if data else 0
+
+
+def statuses_until_the_end(sock):
+    """Return the statuses of all responses until the connection ends."""
+    received = b""
+    while part := sock.recv(65536):
+        received += part
+    return [int(status) for status in re.findall(rb"HTTP/1.1 (\d+) ", received)]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /" + b"x" * 1000, 414),
+        (b"GET / HTTP/1.1\r\nName: " + b"x" * 1000, 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: 5001\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\n\n", 400),
+    ],
+)
+def test_unsound_head_on_the_first_connection_is_refused(data, status):
+    with serving(), connect() as sock:
+        sock.sendall(data)
+        assert status_of(sock) == status
+
+
+def test_head_that_arrives_in_parts_takes_no_thread():
+    with serving(), ExitStack() as stack:
+        slow = [stack.enter_context(connect()) for _ in range(20)]
+        for sock in slow:
+            sock.sendall(GET[:9])
+        with connect() as sock:
+            sock.sendall(GET)
+            assert status_of(sock) == 200
+        for sock in slow:
+            sock.sendall(GET[9:])
+            assert status_of(sock) == 200
+
+
+def test_head_that_does_not_arrive_in_time_gets_408():
+    limits = CallerLimits(header_s=0.2)
+    with serving(limits=limits), connect() as sock:
+        sock.sendall(GET[:9])
+        assert status_of(sock) == 408
+
+
+def test_rest_of_a_body_that_no_page_reads_is_not_taken_for_a_request():
+    body = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
+    last = GET[:-2] + b"Connection: close\r\n\r\n"
+    with serving(), connect() as sock:
+        sock.sendall(body + b"cde\r\n0\r\nA: b\r\n\r\n" + last)
+        assert statuses_until_the_end(sock) == [200, 200]
+    with serving(), connect() as sock:
+        sock.sendall(body)
+        assert statuses_until_the_end(sock) == [200]
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -92,6 +92,8 @@
         target="/",
         path="/",
         body=Body(SimpleNamespace(read=lambda n: b""), 0),
+        head_bytes=0,
+        limit_body=lambda deadline: None,
     )
     try:
         return forwarder.serve(ex, forwarder.rule_for(ex), monotonic()), None, sends
