What all requests hold is bounded by the memory of the machine

Cause: bounds were for each request; their product with 160 threads is over the machine's memory, which nothing read.

Change: `memory.MemoryBudget`, a sixth of `memory_mb` (`limits.memoryMb` of the platform), for heads, parsed fields, bodies buffered for retries and what is buffered of answers, on all ports. A head or body beyond it waits a quarter of a second and gets 503 with Retry-After, not run; of answers less is buffered, so they are streamed sooner and not retried.

Evidence: test_many_bodies_that_stop_short_of_their_end_stay_within_memory failed on for one chunk, chunks of 64 KB and a length within the replay buffer (a length beyond it passed and is kept). Why it works: whatever callers hold is reserved before it is kept, and given back when the request ends.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -16,23 +16,37 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from gypsumwind.log import Log
+from gypsumwind.memory import RESERVE_WAIT_S, Reservation
 from gypsumwind.request_bodies import ChunkedBody, SizedBody
 from gypsumwind.streams import CallerStream
 from gypsumwind.utils import monotonic
 
 log = Log("callers")
 
+FIELD_BYTES = 512
+"""Memory of a parsed field beyond its bytes: two dictionary entries with four strings."""
+
 ACCEPT_PAUSE_S = 0.05
 """Pause after a connection could not be accepted for want of descriptors, in seconds."""
 
+SLOW_HEAD_S = 1.0
+"""Time after which unfinished heads are refused when memory is short, in seconds."""
+
 REQUEST_TIMEOUT = "408 Request Timeout"
+NO_MEMORY = "503 Service Unavailable\r\nRetry-After: 1"
+"""Status of a refusal for want of memory, with a field behind it."""
+
+
+class _NoMemoryError(Exception):
+    """The heads of all requests hold more than their memory."""
 
 
 class _HeadReader:
     """Reads the lines of a head; MaxSizeExceeded beyond `limit` bytes."""
 
-    def __init__(self, stream: CallerStream, limit: int) -> None:
+    def __init__(self, stream: CallerStream, limit: int, memory: Reservation) -> None:
         self._stream = stream
+        self._memory = memory
         self._left = limit
         self._limit = limit
 
@@ -47,20 +61,23 @@
         self._left -= len(line)
         if self._left < 0:
             raise MaxSizeExceeded
+        if not self._memory.grow(2 * len(line) + FIELD_BYTES, RESERVE_WAIT_S):
+            raise _NoMemoryError
         return line
 
 
 class CallerRequest(HTTPRequest):
-    """One request of a caller; its head has `head_bytes`."""
+    """One request of a caller; `memory` is what it holds until it is answered."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        self.memory = Reservation(self.server.memory)
         self.head_bytes = 0
 
     def parse_request(self) -> None:
         """Read and check the head; send an error response unless it is sound and within limits."""
         limit = self.server.max_request_header_size
-        self.rfile = reader = _HeadReader(self.conn.rfile, limit)
+        self.rfile = reader = _HeadReader(self.conn.rfile, limit, self.memory)
         refusal = ("414 Request-URI Too Long", "The request line is too long.")
         try:
             if self.read_request_line():
@@ -68,7 +85,11 @@
                 self.ready = self.read_request_headers()
         except MaxSizeExceeded:
             self.simple_response(*refusal)
+        except _NoMemoryError:
+            self.simple_response(NO_MEMORY)
         self.head_bytes = reader.received
+        if not self.ready:
+            self.memory.close()
 
     def read_request_headers(self) -> bool:
         """Read the fields; a length that is no number is refused (RFC 9112, section 6.3)."""
@@ -82,10 +103,13 @@
     def respond(self) -> None:
         """Pass the request and a reader of its body to the handler."""
         self.rfile = self.body_reader()
-        self.server.gateway(self).respond()
-        self.ensure_headers_sent()
-        if self.chunked_write:
-            self.conn.wfile.write(b"0\r\n\r\n")
+        try:
+            self.server.gateway(self).respond()
+            self.ensure_headers_sent()
+            if self.chunked_write:
+                self.conn.wfile.write(b"0\r\n\r\n")
+        finally:
+            self.memory.close()
 
     def body_reader(self) -> SizedBody | ChunkedBody:
         """Return a reader of the request's body."""
@@ -107,11 +131,27 @@
 
         super().__init__(server, sock, open_file)
         self.head_began_at: float | None = None
+        self._memory = Reservation(server.memory)
+        self._held = 0
 
     def has_head(self) -> bool:
         """Return whether the head of a request, or one beyond the limit, has arrived."""
         return self.rfile.has_head(self.server.max_request_header_size)
 
+    def hold_head(self) -> bool:
+        """Count the part of a head that has arrived; return False if there is no memory for it."""
+        size = len(self.rfile.buffer)
+        if size and self.head_began_at is None:
+            self.head_began_at = monotonic()
+        held, self._held = self._held, max(size, self._held)
+        return self._memory.grow(self._held - held)
+
+    def begin_request(self) -> None:
+        """End the wait for a head, which has arrived."""
+        self.head_began_at = None
+        self._held = 0
+        self._memory.close()
+
     def refuse(self, status: str) -> None:
         """Send an error response if that takes no wait, and close the connection."""
         text = f"{self.server.protocol} {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -120,6 +160,11 @@
             self.socket.send(text.encode())
         self.close()
 
+    def close(self) -> None:
+        """Close the connection."""
+        self._memory.close()
+        super().close()
+
 
 class WaitingConnections(ConnectionManager):
     """Connections that wait for the head of a request; those with a whole one go to a thread.
@@ -131,15 +176,20 @@
     _selector: Any
     _stop_requested: bool
 
+    def __init__(self, server: Any) -> None:
+        super().__init__(server)
+        self.short_of_memory = False
+
     def put(self, conn: CallerConnection) -> None:
         """Wait for the next request on a connection, unless it has arrived."""
         conn.last_used = time.time()
         if conn.rfile.has_data() and conn.has_head():
-            conn.head_began_at = None
+            conn.begin_request()
             self.server.requests.put(conn)
+        elif not conn.hold_head():
+            self.short_of_memory = True
+            conn.refuse(NO_MEMORY)
         else:
-            if conn.rfile.has_data() and conn.head_began_at is None:
-                conn.head_began_at = monotonic()
             try:
                 self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, data=conn)
             except (OSError, ValueError) as exc:
@@ -165,6 +215,8 @@
                 else:
                     self._selector.unregister(fd)
                     self._receive(conn)
+            # Only here, as descriptors of closed connections may be those of new ones.
+            self._bound()
             if monotonic() >= check_at:
                 check_at = monotonic() + expiration_interval
                 self._expire(time.time() - self.server.timeout)
@@ -190,20 +242,26 @@
         else:
             conn.close()
 
+    def _bound(self) -> None:
+        """Close connections whose heads are slow, if memory is short."""
+        if self.short_of_memory:
+            self.short_of_memory = False
+            self._expire_heads(SLOW_HEAD_S, NO_MEMORY)
+
     def _expire(self, threshold: float) -> None:
         """Close connections that were idle for too long, and those with heads that are late."""
-        self._expire_heads(self.server.limits().header_s)
+        self._expire_heads(self.server.limits().header_s, REQUEST_TIMEOUT)
         for conn in self._waiting():
             if conn.head_began_at is None and conn.last_used < threshold:
                 self._remove(conn)
 
-    def _expire_heads(self, limit_s: float) -> None:
+    def _expire_heads(self, limit_s: float, status: str) -> None:
         """Refuse requests whose heads have been arriving for longer than `limit_s` seconds."""
         began_before = monotonic() - limit_s
         for conn in self._waiting():
             if conn.head_began_at is not None and conn.head_began_at < began_before:
                 log.info("head-too-slow", limit_s=limit_s)
-                self._remove(conn, REQUEST_TIMEOUT)
+                self._remove(conn, status)
 
     def _waiting(self) -> list[CallerConnection]:
         return [conn for _, conn in self._selector.connections if conn is not self.server]
--- a/gypsumwind/calls.py
+++ b/gypsumwind/calls.py
@@ -9,6 +9,7 @@
 from gypsumwind.core.admission import Priority
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
+from gypsumwind.memory import RESERVE_WAIT_S, Reservation, unlimited
 from gypsumwind.streams import BodyError
 from gypsumwind.utils import monotonic, wall
 
@@ -16,7 +17,7 @@
 MAX_REPLAY_BYTES = 65536
 
 BODY_RETRY_S = 0.5
-"""Retry-After for a request whose body did not arrive in time, in seconds."""
+"""Retry-After of a VM that has no room for a body, in seconds."""
 
 H_TIMEOUT = "gypsumwind-timeout-ms"
 H_DEADLINE = "gypsumwind-deadline"
@@ -61,11 +62,15 @@
 
 
 class Body:
-    """A request body: a small one is buffered for retries, a large one is streamed once."""
+    """A request body: a small one is buffered for retries, a large one is streamed once.
+
+    What it buffers counts towards `memory`.
+    """
 
     __slots__ = (
         "length",
         "_reader",
+        "_memory",
         "_buffered",
         "_pending",
         "_received",
@@ -74,9 +79,12 @@
         "_broken",
     )
 
-    def __init__(self, reader: Reader, length: int | None) -> None:
+    def __init__(
+        self, reader: Reader, length: int | None, memory: Reservation | None = None
+    ) -> None:
         self.length = length
         self._reader = reader
+        self._memory = memory or unlimited()
         self._buffered: bytes | None = None
         self._pending = bytearray()
         self._received = 0
@@ -95,10 +103,14 @@
             self._buffer(max_bytes + 1)
 
     def _buffer(self, max_bytes: int) -> None:
-        """Buffer up to `max_bytes`."""
+        """Buffer up to `max_bytes`; RequestError if there is no memory for them."""
         data = self._pending
         while not self._ended and len(data) < max_bytes:
-            data += self._read(min(CHUNK_BYTES, max_bytes - len(data)))
+            chunk = self._read(min(CHUNK_BYTES, max_bytes - len(data)))
+            if not self._memory.grow(len(chunk), RESERVE_WAIT_S):
+                text = "too many bodies are in memory at this VM"
+                raise RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, BODY_RETRY_S)
+            data += chunk
         if self._ended:
             self._buffered, self.length = bytes(data), len(data)
             self._pending = bytearray()
@@ -129,6 +141,7 @@
             chunk = bytes(self._pending[:CHUNK_BYTES])
             del self._pending[:CHUNK_BYTES]
             yield chunk
+            self._memory.shrink(len(chunk))
         while not self._ended and (chunk := self._read(CHUNK_BYTES)):
             yield chunk
 
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -24,6 +24,7 @@
 from gypsumwind.keys import HomeActor
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
+from gypsumwind.memory import MemoryBudget
 from gypsumwind.metrics import Metrics
 from gypsumwind.pages import CallerHandler, HandlerDependencies, HandoffHandler
 from gypsumwind.peers import PeerClient, PeerError, PeerServer, PeerService, ProbeListener
@@ -74,6 +75,7 @@
             cfg.vm, cfg.zone, self._endpoint(), self._initial_incarnation, State.ALIVE
         )
         self._snapshots = Snapshots(self._local_member)
+        self._memory = MemoryBudget(cfg.memory_mb)
         self._joined = threading.Event()
         self._stopping = False
 
@@ -187,6 +189,7 @@
                 cfg.threads,
                 handler.handle,
                 limits=lambda: LIMITS,
+                memory=self._memory,
             )
             enter(server)
 
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -45,6 +45,7 @@
 from gypsumwind.joins import AnnounceTask, JoinTask, Registry
 from gypsumwind.log import Log
 from gypsumwind.members import MembersActor
+from gypsumwind.memory import MemoryBudget
 from gypsumwind.metrics import Metrics
 from gypsumwind.outages import OutageHistory
 from gypsumwind.payloads import (
@@ -162,6 +163,7 @@
             cfg.vm, cfg.zone, endpoint, self._initial_incarnation, State.ALIVE
         )
         self.snapshots = Snapshots(self._local_member)
+        self._memory = MemoryBudget(cfg.memory_mb)
         self._joined = threading.Event()
         self._hangups = hangups
         self._connections = ConnectionPool(cfg.ip)
@@ -243,6 +245,7 @@
             self._front.handle,
             connections,
             self._caller_limits,
+            self._memory,
         )
         enter(self._server)
         self._announce = AnnounceTask(
@@ -278,8 +281,8 @@
         )
 
     def page_server(self, name: str, ip: str, port: int, handler: Handler) -> Server:
-        """Return a server of pages."""
-        return Server(name, ip, port, PAGE_THREADS, handler)
+        """Return a server of pages, which shares the memory for requests."""
+        return Server(name, ip, port, PAGE_THREADS, handler, memory=self._memory)
 
     def _caller_limits(self) -> CallerLimits:
         """Return the limits of callers in force: the defaults until the configuration is known."""
--- a/gypsumwind/exchanges.py
+++ b/gypsumwind/exchanges.py
@@ -1,9 +1,10 @@
 """Sends one request to one upstream instance; returns its response or the reason for none."""
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http.client import HTTPException
 from typing import Any
 
@@ -20,6 +21,7 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.hangups import DeadlineTask, TrackedConnection, cancelled
 from gypsumwind.log import Log
+from gypsumwind.memory import Reservation, unlimited
 from gypsumwind.response_syntax import BODILESS_STATUSES, malformation
 from gypsumwind.steering import HeaderNames
 from gypsumwind.utils import monotonic, wall
@@ -57,7 +59,8 @@
 class Request:
     """A caller's request as it is sent to any instance; `deadline` is on this VM's clock.
 
-    Repeats of a request have the same `fingerprint`, whatever their ids.
+    Repeats of a request have the same `fingerprint`, whatever their ids. What is buffered of its
+    response counts towards `memory`.
     """
 
     id: str
@@ -68,6 +71,7 @@
     deadline: float
     repeatable: bool
     fingerprint: str = ""
+    memory: Reservation = field(default_factory=unlimited)
 
 
 @dataclass(slots=True, frozen=True)
@@ -303,16 +307,19 @@
     def _buffered_response(
         self, conn: TrackedConnection, up: Upstream, response: HTTPResponse, req: Request
     ) -> Answer:
-        """Return the response with up to BUFFER_BYTES of its body already read."""
+        """Return the response with up to BUFFER_BYTES of its body already read.
+
+        If there is no memory for as much, less of it is read.
+        """
         headers = [(n, v) for n, v in response.headers.items() if n.lower() not in HOP_BY_HOP]
         bodiless = req.method == "HEAD" or response.status in BODILESS_STATUSES
         source = iter(()) if bodiless else self._chunks(conn, response, req)
-        buffered: list[bytes] = []
+        buffered: deque[bytes] = deque()
         size = 0
         for chunk in source:
             buffered.append(chunk)
             size += len(chunk)
-            if size >= BUFFER_BYTES:
+            if not req.memory.grow(len(chunk)) or size >= BUFFER_BYTES:
                 text = response.headers.get("content-length", "")
                 length = int(text) if text.isdecimal() else None
                 chunks = _chain(buffered, source, up, req)
@@ -382,10 +389,11 @@
 
 
 def _chain(
-    buffered: list[bytes], source: Iterator[bytes], up: Upstream, req: Request
+    buffered: deque[bytes], source: Iterator[bytes], up: Upstream, req: Request
 ) -> Iterator[bytes]:
     """Yield the buffered and remaining chunks; raise if truncated, lest the body look complete."""
-    yield from buffered
+    while buffered:
+        yield buffered.popleft()
     try:
         yield from source
     except (HTTPException, HTTPError, OSError) as exc:
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -167,6 +167,7 @@
             self.deadline_of(ex, rule, arrived),
             rule.kind.repeatable,
             _fingerprint(ex),
+            ex.memory,
         )
 
     def _place(self, placement_request: PlacementRequest, req: Request) -> Placed | RequestError:
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -175,6 +175,7 @@
     def close(self) -> None:
         """Close the connection and abandon the requests that started early on it."""
         for req in self.ahead:
+            req.memory.close()
             if req.exchange is not None:
                 req.exchange.abandon()
         super().close()
--- a/gypsumwind/platform/settings.py
+++ b/gypsumwind/platform/settings.py
@@ -89,6 +89,7 @@
             "seeds": " ".join(f"seed={ip}:{ports[0]}" for ip, _ in seeds),
             "gossip_s": GOSSIP_S,
             "threads": THREADS,
+            "memory_mb": self._values.get("limits.memoryMb") or None,
         }
         try:
             cfg = read_settings(flags, {})
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -28,6 +28,7 @@
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.log import Log
+from gypsumwind.memory import MemoryBudget
 from gypsumwind.pools import GrowingPool
 from gypsumwind.utils import monotonic
 
@@ -75,6 +76,7 @@
         "method",
         "path",
         "head_bytes",
+        "memory",
         "_query",
         "headers",
         "body",
@@ -94,12 +96,13 @@
         self.target = req.uri.decode("latin-1")
         self.path, _, self._query = self.target.partition("?")
         self.head_bytes = req.head_bytes
+        self.memory = req.memory
         self.headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in req.inheaders.items()
         }
         length = None if req.chunked_read else int(req.inheaders.get(b"Content-Length", b"0"))
-        self.body = Body(req.rfile, length)
+        self.body = Body(req.rfile, length, req.memory)
 
     @property
     def query(self) -> dict[str, str]:
@@ -252,7 +255,7 @@
 
 
 class _Server(HTTPServer):
-    """A cheroot server with limits from the first connection on.
+    """A cheroot server with limits from the first connection on, also on what it holds in all.
 
     It logs its exceptions as structured events, not as stack traces.
     """
@@ -262,9 +265,11 @@
         address: tuple[str, int],
         gateway: type[Gateway],
         limits: Callable[[], CallerLimits],
+        memory: MemoryBudget,
     ) -> None:
         super().__init__(address, gateway)
         self.limits = limits
+        self.memory = memory
         self.listening = True
 
     @property
@@ -305,7 +310,8 @@
 class Server:
     """An HTTP server that passes requests to a handler, each in a thread, up to a limit.
 
-    `limits` returns those of callers that are in force.
+    `limits` returns those of callers that are in force. All servers of a process share the `memory`
+    for requests.
     """
 
     def __init__(
@@ -317,6 +323,7 @@
         handler: Handler,
         connections: type[CallerConnection] = CallerConnection,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        memory: MemoryBudget | None = None,
     ) -> None:
         class HandlerGateway(Gateway):
             """Passes each request to the handler."""
@@ -325,7 +332,8 @@
                 """Handle the request."""
                 handler(getattr(self.req, "exchange", None) or Exchange(self.req))
 
-        self._http = _Server((ip, port), HandlerGateway, limits)
+        memory = memory or MemoryBudget()
+        self._http = _Server((ip, port), HandlerGateway, limits, memory)
         self._http.requests = GrowingPool(self._http, threads)
         self._http.ConnectionClass = connections
         self._http.request_queue_size = BACKLOG
--- a/gypsumwind/settings.py
+++ b/gypsumwind/settings.py
@@ -46,6 +46,17 @@
     return int(value)
 
 
+def _amount(value: str) -> int:
+    """Return the whole part of an amount; platforms state some with a fraction."""
+    try:
+        amount = int(float(value))
+    except (ValueError, OverflowError):
+        raise ValueError(f"{value!r} is not a number") from None
+    if amount < 1:
+        raise ValueError(f"{value!r} is below 1")
+    return amount
+
+
 def _seconds(value: str) -> float:
     try:
         seconds = float(value)
@@ -148,6 +159,7 @@
     Setting("default_deadline_s", _seconds, "10", "s", "deadline of requests that set none"),
     Setting("max_deadline_s", _seconds, "120", "s", "upper limit of deadlines"),
     Setting("threads", _count, "64", "threads", "concurrent requests per port"),
+    Setting("memory_mb", _amount, "300", "MB", "memory of this VM; a sixth of it is for requests"),
     Setting("entry_ttl_s", _seconds, "2", "s", "time callers may cache a lookup"),
     Setting("key_ttl_s", _seconds, "3600", "s", "time an idempotency key is stored"),
     Setting("key_capacity", _count, "100000", "keys", "maximum number of stored idempotency keys"),
@@ -197,6 +209,7 @@
     default_deadline_s: float
     max_deadline_s: float
     threads: int
+    memory_mb: int
     entry_ttl_s: float
     key_ttl_s: float
     key_capacity: int
--- a/tests/integration/test_misbehaving_clients.py
+++ b/tests/integration/test_misbehaving_clients.py
@@ -90,6 +90,25 @@
     return vm.ip, platform.FRONT_PORT
 
 
+UNFINISHED_BODIES = {
+    "one-chunk": lambda: chunked(head(), [b"%x\r\n" % (8 * MB)], filler(8 * MB - 1)),
+    "chunks-of-64-KB": lambda: chunked(head(), chunks(65536, 127), [b"10000\r\n"], filler(65535)),
+    "length-within-the-replay-buffer": lambda: sized(head(), MB, filler(MB - 1)),
+    "length-beyond-the-replay-buffer": lambda: sized(head(), 8 * MB, filler(8 * MB - 1)),
+}
+
+
+@pytest.mark.parametrize("body", UNFINISHED_BODIES)
+def test_many_bodies_that_stop_short_of_their_end_stay_within_memory(fleet, vm, body):
+    """The crowd stays open while an ordinary client is answered."""
+    with Crowd(front(vm), CROWD, lambda n: UNFINISHED_BODIES[body]()) as crowd:
+        crowd.wait()
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+    answers_an_ordinary_request(fleet, vm)
+    stays_in_bounds(vm)
+
+
 SMALL_CHUNKS = {
     "16-bytes": lambda: chunked(head(), chunks(16, 262_000), [b"10\r\nx"]),
     "1-byte": lambda: chunked(head(), chunks(1, MB), [b"1\r\n"]),
@@ -179,6 +198,17 @@
         answers_an_ordinary_request(fleet, vm)
 
 
+def test_heads_of_many_small_fields_stay_within_memory(fleet, patient_vm):
+    """Guards against the memory of parsed fields, which is many times that of their bytes."""
+    vm = patient_vm
+    fields = b"".join(b"%x:\r\n" % n for n in range(9000))
+    start = head(path="/book/x", deadline_ms=90_000)
+    with Crowd(front(vm), STALLED_CROWD, lambda n: sized(start + fields, 100, filler(99))) as crowd:
+        crowd.wait()
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+
+
 def test_head_that_is_longer_than_the_configuration_allows_is_not_run_after_a_start(fleet):
     """Its head is read before the process knows the limit, which is 16 KB."""
     vm = fleet.vms["vm-1"].start()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,9 @@
 import pytest
 
 from gypsumwind.core.rules import CallerLimits
+from gypsumwind.memory import REQUESTS_SHARE, MemoryBudget
 from gypsumwind.servers import Server
+from tests.standins.fleet import wait_until
 
 PORT = 18497
 LIMITS = CallerLimits(header_bytes=1000, body_bytes=5000, header_s=60, idle_s=60)
@@ -89,3 +91,16 @@
     with serving(), connect() as sock:
         sock.sendall(body)
         assert statuses_until_the_end(sock) == [200]
+
+
+def test_heads_beyond_the_memory_for_requests_are_refused_and_it_is_given_back():
+    memory = MemoryBudget(REQUESTS_SHARE)
+    fields = b"".join(b"n%d:\r\n" % n for n in range(8000))
+    head = GET[:-2] + fields + b"\r\n"
+    with serving(limits=CallerLimits(), memory=memory), connect() as sock:
+        sock.sendall(head)
+        assert status_of(sock) == 503
+        wait_until(lambda: memory.held == 0, text="the memory is given back")
+        with connect() as other:
+            other.sendall(GET)
+            assert status_of(other) == 200
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -15,6 +15,7 @@
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.exchanges import SendResult
 from gypsumwind.forwarders import Forwarder, _bounded_key
+from gypsumwind.memory import unlimited
 from gypsumwind.platform.headers import HEADERS
 from gypsumwind.utils import monotonic
 
@@ -93,6 +94,7 @@
         path="/",
         body=Body(SimpleNamespace(read=lambda n: b""), 0),
         head_bytes=0,
+        memory=unlimited(),
         limit_body=lambda deadline: None,
     )
     try:
