Stalled transfers are ended when threads, places in flight, slots or memory are short

Callers saw: with 200 clients that stop within a body, refuse to read answers or upload to instances and stall, no other request was served until time-outs ended them: a thread, a place in flight, a slot of an instance or memory is kept for each.

Cause: a transfer goes at its caller's pace, and nothing preferred a caller that sends to one that has stopped.

Change: `transfers` knows the transfers that wait for their callers. When connections wait for a thread, requests for a place in flight or for a slot, or memory is used up, those stalled longest are ended: 408, not run, if no part of the body was passed on, else 504. In calm nobody is ended.

Why it works: what is short is given back by whoever uses it least, and a refusal stays true: nothing of the body had left.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -127,7 +127,8 @@
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
         def open_file(sock: socket.socket, mode: str, size: int) -> Any:
-            return CallerStream(sock) if "r" in mode else makefile(sock, mode, size)
+            reads = "r" in mode
+            return CallerStream(sock, server.transfers) if reads else makefile(sock, mode, size)
 
         super().__init__(server, sock, open_file)
         self.head_began_at: float | None = None
@@ -254,6 +255,7 @@
         for conn in self._waiting():
             if conn.head_began_at is None and conn.last_used < threshold:
                 self._remove(conn)
+        self.server.relieve()
 
     def _expire_heads(self, limit_s: float, status: str) -> None:
         """Refuse requests whose heads have been arriving for longer than `limit_s` seconds."""
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -191,6 +191,7 @@
                 limits=lambda: LIMITS,
                 memory=self._memory,
             )
+            handler.in_flight.transfers = server.transfers
             enter(server)
 
     def _ready(self) -> bool:
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -247,6 +247,7 @@
             self._caller_limits,
             self._memory,
         )
+        self._front.in_flight.transfers = forwarder.transfers = self._server.transfers
         enter(self._server)
         self._announce = AnnounceTask(
             cfg,
--- a/gypsumwind/forwarders.py
+++ b/gypsumwind/forwarders.py
@@ -31,6 +31,7 @@
 from gypsumwind.servers import Exchange
 from gypsumwind.snapshots import Snapshots
 from gypsumwind.steering import HeaderNames
+from gypsumwind.transfers import Transfers
 from gypsumwind.utils import monotonic
 
 log = Log("forwarders")
@@ -41,6 +42,9 @@
 DEADLINE_MARGIN_S = 0.02
 """Part of a deadline that is reserved for answering the caller before it passes."""
 
+SLOT_WAIT_S = 0.5
+"""Time in the queue for a slot after which an upload that stalls at an instance is ended."""
+
 MAX_KEY_CHARS = 64
 """Longest affinity key that is remembered as it is."""
 
@@ -66,7 +70,10 @@
 
 
 class Forwarder:
-    """Matches a request to its rule, sends it to an instance, and retries where that is safe."""
+    """Matches a request to its rule, sends it to an instance, and retries where that is safe.
+
+    `transfers` are those of the callers' server.
+    """
 
     def __init__(
         self,
@@ -86,6 +93,7 @@
         self._names = names
         self._metrics = metrics
         self._tickets = itertools.count(1)
+        self.transfers = Transfers()
 
     def rule_for(self, ex: Exchange) -> Rule:
         """Return the rule of a request; RequestError if none matches or the request is too long."""
@@ -118,6 +126,8 @@
         ex.limit_body(self.deadline_of(ex, rule, arrived))
         ex.body.buffer_small(MAX_REPLAY_BODY_BYTES)
         ex.body.buffer_chunked(MAX_REPLAY_BODY_BYTES)
+        if ex.body.buffered is None:
+            ex.pass_on_body()
         req = self._request(ex, rule, arrived)
         key = _bounded_key(ex.headers.get(self._names.affinity, "")) if rule.sticky else ""
         service = rule.service_for(req.id)
@@ -177,17 +187,13 @@
         if scope is not None:
             scope.add(wait)
         self._dispatch.tell(msg.PlaceRequest(placement_request, wait.future))
-        try:
-            decision = wait.future.result(timeout=max(0.0, req.deadline - monotonic()))
-        except FutureTimeoutError:
-            wait.abort()
-            decision = wait.future.result() or Refused("no-room-in-time", DEFAULT_RETRY_AFTER_S)
-            self._dispatch.tell(msg.CancelPlacement(placement_request.ticket))
+        decision = self._decision(wait, placement_request)
         if isinstance(decision, Placed):
             return decision
         if decision is None:
             self._dispatch.tell(msg.CancelPlacement(placement_request.ticket))
             return RequestError(Code.CANCELLED, "the caller has gone away", Verdict.NOT_RUN, 499)
+        self._end_stalled_upload()
         log.info(
             "request-refused",
             id=req.id,
@@ -204,6 +210,23 @@
         text = f"no instance of {placement_request.service} has room: {decision.reason}"
         return RequestError(Code.NO_CAPACITY, text, Verdict.NOT_RUN, 503, decision.retry_after_s)
 
+    def _decision(
+        self, wait: _PendingPlacement, placement_request: PlacementRequest
+    ) -> Decision | None:
+        """Wait for a decision until the deadline; None if the caller disconnects."""
+        deadline = placement_request.deadline
+        while (left := deadline - monotonic()) > 0:
+            try:
+                return wait.future.result(timeout=min(left, SLOT_WAIT_S))
+            except FutureTimeoutError:
+                self._end_stalled_upload()
+        wait.abort()
+        self._dispatch.tell(msg.CancelPlacement(placement_request.ticket))
+        return wait.future.result() or Refused("no-room-in-time", DEFAULT_RETRY_AFTER_S)
+
+    def _end_stalled_upload(self) -> None:
+        self.transfers.end_stalled(1, "requests wait for slots", holding_slots=True)
+
     def _send(
         self, placed: Placed, req: Request, rule: Rule, attempt: int, ticket: int
     ) -> SendResult:
--- a/gypsumwind/memory.py
+++ b/gypsumwind/memory.py
@@ -2,6 +2,7 @@
 
 import sys
 import threading
+from collections.abc import Callable
 
 DEFAULT_MEMORY_MB = 300
 MEGABYTE = 1024 * 1024
@@ -15,10 +16,14 @@
 
 
 class MemoryBudget:
-    """The bytes that all requests of a process may hold together."""
+    """The bytes that all requests of a process may hold together.
+
+    When there are too few, the functions in `on_shortage` are called; they may end requests.
+    """
 
     def __init__(self, memory_mb: int = DEFAULT_MEMORY_MB) -> None:
         self.limit = memory_mb * MEGABYTE // REQUESTS_SHARE
+        self.on_shortage: list[Callable[[], object]] = []
         self._held = 0
         self._released = threading.Condition()
 
@@ -29,6 +34,12 @@
 
     def reserve(self, size: int, wait_s: float = 0.0) -> bool:
         """Reserve bytes, after at most `wait_s` seconds; return False if there are too few."""
+        with self._released:
+            if self._has_room(size):
+                self._held += size
+                return True
+        for relieve in self.on_shortage:
+            relieve()
         with self._released:
             if not self._released.wait_for(lambda: self._has_room(size), wait_s):
                 return False
--- a/gypsumwind/pools.py
+++ b/gypsumwind/pools.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections.abc import Callable
 from typing import Any
 
 from cheroot.workers.threadpool import ThreadPool, WorkerThread
@@ -19,14 +20,17 @@
 class GrowingPool(ThreadPool):
     """A pool that starts a thread when all of its threads are busy, up to a limit.
 
-    A connection waits only while all threads up to the limit are busy. Threads are kept once
-    started, since a burst may recur.
+    A connection waits only while all threads up to the limit are busy, after a call of `relieve`.
+    Threads are kept once started, since a burst may recur.
     """
 
     _threads: list[WorkerThread]
 
-    def __init__(self, server: Any, limit: int) -> None:
+    def __init__(
+        self, server: Any, limit: int, relieve: Callable[[], object] = lambda: None
+    ) -> None:
         super().__init__(server, min=min(MIN_THREADS, limit), max=limit)
+        self._relieve = relieve
         self._lock = threading.Lock()
         self._current = threading.local()
         self._base_get = self.get
@@ -47,6 +51,13 @@
                 worker.start()
                 self._threads.append(worker)
         super().put(obj)
+        if self.waiting > 0:
+            self._relieve()
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of connections that wait for a thread."""
+        return max(0, self.unfinished - self.max)
 
     def stop(self, timeout: int = STOP_TIMEOUT_S) -> None:
         """End the threads; start none from now on: a new one would get no stop signal."""
--- a/gypsumwind/request_bodies.py
+++ b/gypsumwind/request_bodies.py
@@ -48,8 +48,9 @@
     @contextmanager
     def turn(self, stream: CallerStream) -> Iterator[None]:
         """Wait for a turn, and pause after it; BodyError once the body's time is over."""
-        while not self._lock.acquire(timeout=TURN_CHECK_S):
-            stream.check_time()
+        with stream.waiting():
+            while not self._lock.acquire(timeout=TURN_CHECK_S):
+                stream.check_time()
         try:
             began_at = monotonic()
             stream.check_time()
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import socket
 import sys
 import threading
 from collections.abc import Callable
@@ -30,6 +31,7 @@
 from gypsumwind.log import Log
 from gypsumwind.memory import MemoryBudget
 from gypsumwind.pools import GrowingPool
+from gypsumwind.transfers import Transfer, Transfers
 from gypsumwind.utils import monotonic
 
 log = Log("servers")
@@ -37,6 +39,9 @@
 BACKLOG = 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 4096
 MAX_DISCARDED_BYTES = 65536
+ENDED_AT_ONCE = 4
+"""Stalled transfers that are ended at once when memory is short."""
+
 DISCARD_S = 0.03
 """Longest wait for the rest of a body that is not used, before the response, in seconds: callers
 send short bodies along with the head."""
@@ -118,6 +123,10 @@
         """Set the time by which the body has to arrive, on this process's clock."""
         self._req.conn.rfile.deadline = deadline
 
+    def pass_on_body(self) -> None:
+        """Record that an instance gets the body as it arrives, and waits for it."""
+        self._req.conn.rfile.pass_on_body()
+
     def on_readable(self) -> None:
         """Start to read the caller's pipelined requests, whose bytes arrived during this one."""
         more = getattr(self._req.conn, "more", None)
@@ -163,8 +172,11 @@
             if closing or self.body.unread:
                 self._req.close_connection = True
             self._send_head(answer.status, headers, answer.length)
+            transfer = Transfer(self.socket, socket.SHUT_RDWR)
             for chunk in answer.chunks:
-                self._req.write(chunk)
+                transfer.expect(len(chunk))
+                with self._transfers.waiting(transfer):
+                    self._req.write(chunk)
             whole = True
             if closing:
                 self._linger(CLOSE_LINGER_S)
@@ -215,12 +227,18 @@
     def _linger(self, seconds: float) -> None:
         """Keep reading for a while after the response: a reset would discard it at the caller."""
         until = monotonic() + seconds
-        with suppress(Exception):
+        transfer = Transfer(self.socket, socket.SHUT_RD, 0.0)
+        with suppress(Exception), self._transfers.waiting(transfer):
             self._req.conn.wfile.flush()
             self.socket.settimeout(seconds)
             while monotonic() < until and self.socket.recv(MAX_DISCARDED_BYTES):
                 continue
 
+    @property
+    def _transfers(self) -> Transfers:
+        transfers: Transfers = self._req.server.transfers
+        return transfers
+
     def _send_head(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
         req = self._req
         if req.conn.rfile.has_own_timeout:
@@ -270,7 +288,9 @@
         super().__init__(address, gateway)
         self.limits = limits
         self.memory = memory
+        self.transfers = Transfers()
         self.listening = True
+        memory.on_shortage.append(self.free_memory)
 
     @property
     def max_request_header_size(self) -> int:  # type: ignore[override]
@@ -299,6 +319,14 @@
         if isinstance(fault, Exception) and not isinstance(fault, OSError):
             internal_error(fault)
 
+    def relieve(self) -> None:
+        """End stalled transfers if connections wait for a thread."""
+        self.transfers.end_stalled(self.requests.waiting, "no thread is free")
+
+    def free_memory(self) -> None:
+        """End a few stalled transfers, whose requests hold memory."""
+        self.transfers.end_stalled(ENDED_AT_ONCE, "memory is short")
+
     def close_listener(self) -> None:
         """Stop accepting connections; the library has no call for it except a full stop."""
         self.listening = False
@@ -334,7 +362,7 @@
 
         memory = memory or MemoryBudget()
         self._http = _Server((ip, port), HandlerGateway, limits, memory)
-        self._http.requests = GrowingPool(self._http, threads)
+        self._http.requests = GrowingPool(self._http, threads, self._http.relieve)
         self._http.ConnectionClass = connections
         self._http.request_queue_size = BACKLOG
         self._http.server_name = "gypsumwind"
@@ -342,6 +370,11 @@
         self._http.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
 
+    @property
+    def transfers(self) -> Transfers:
+        """Return the transfers that wait for callers."""
+        return self._http.transfers
+
     def _serve(self) -> None:
         self._http.serve()
 
@@ -366,6 +399,8 @@
 class ConcurrencyLimiter:
     """Limits the requests in flight; sheds those of the lowest priorities first.
 
+    `transfers` are those of the server whose requests are counted.
+
     Without the shares, queued requests of low priorities occupy all threads of an overloaded VM,
     and those of the highest are refused unread. Priority 0 is the highest.
     """
@@ -374,6 +409,7 @@
         self._limit = limit
         self._count = 0
         self._lock = threading.Lock()
+        self.transfers = Transfers()
 
     @property
     def count(self) -> int:
@@ -385,12 +421,18 @@
         return int(self._limit * max(MIN_SHARE, 1.0 - RESERVED_SHARE * priority))
 
     def try_acquire(self, priority: int = 0) -> bool:
-        """Count a request in; return False at the limit of its priority."""
+        """Count a request in; return False at the limit of its priority.
+
+        At the limit, a request whose transfer has stalled is ended, and this one takes its place.
+        """
         with self._lock:
-            if self._count >= self.limit_for(priority):
-                return False
-            self._count += 1
-            return True
+            admitted = self._count < self.limit_for(priority)
+            self._count += admitted
+        if not admitted and self.transfers.end_stalled(1, "too many requests are in flight"):
+            admitted = True
+            with self._lock:
+                self._count += 1
+        return admitted
 
     def release(self) -> None:
         """Count a request out."""
--- a/gypsumwind/streams.py
+++ b/gypsumwind/streams.py
@@ -1,8 +1,10 @@
 """Buffered reads from a caller's socket, which hold what is asked for and a block at most."""
 
 import socket
+from contextlib import AbstractContextManager
 from http import HTTPStatus
 
+from gypsumwind.transfers import Transfer, Transfers
 from gypsumwind.utils import monotonic
 
 BLOCK_BYTES = 16384
@@ -31,12 +33,14 @@
     until `deadline`. `has_own_timeout`: such a read has changed the timeout of the socket.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, transfers: Transfers) -> None:
         self.buffer = bytearray()
         self.bytes_read = 0
         self.deadline: float | None = None
         self.has_own_timeout = False
         self._sock = sock
+        self._transfers = transfers
+        self._transfer = Transfer(sock, socket.SHUT_RD)
         self._searched = 0
 
     def has_data(self) -> bool:
@@ -66,8 +70,13 @@
             self.buffer = bytearray()
 
     def begin_body(self) -> None:
-        """Forget the deadline of the body before."""
+        """Count the stalls of another body."""
         self.deadline = None
+        self._transfer = Transfer(self._sock, socket.SHUT_RD)
+
+    def pass_on_body(self) -> None:
+        """Record that an instance gets the body as it arrives, and waits for it."""
+        self._transfer.holds_slot = True
 
     def read(self, size: int) -> bytes:
         """Return at most `size` bytes as soon as there are any, none at the end of the stream."""
@@ -90,8 +99,15 @@
         self.skip(end)
         return line
 
+    def waiting(self) -> AbstractContextManager:
+        """Return the context manager of a wait for the caller's body."""
+        return self._transfers.waiting(self._transfer)
+
     def check_time(self) -> None:
-        """Raise BodyError if the body is past its deadline."""
+        """Raise BodyError if the body is past its deadline, or its transfer was ended."""
+        if self._transfer.ended:
+            text = "the request's body stalled while this VM was short of room"
+            raise BodyError(HTTPStatus.REQUEST_TIMEOUT, text)
         if self.deadline is not None and monotonic() >= self.deadline:
             text = "the request's body did not arrive in time"
             raise BodyError(HTTPStatus.REQUEST_TIMEOUT, text)
@@ -100,14 +116,18 @@
         """Receive at most `size` bytes; BodyError if they do not come in time."""
         left = MAX_WAIT_S if self.deadline is None else self.deadline - monotonic()
         try:
-            self.has_own_timeout = True
-            self._sock.settimeout(max(0.001, left))
-            data = self._sock.recv(size)
+            with self.waiting():
+                self.has_own_timeout = True
+                self._sock.settimeout(max(0.001, left))
+                data = self._sock.recv(size)
         except TimeoutError as exc:
             text = "the request's body did not arrive in time"
             raise BodyError(HTTPStatus.REQUEST_TIMEOUT, text) from exc
         except OSError:
             data = b""
+        if not data:
+            self.check_time()
+        self._transfer.progress(len(data))
         self.bytes_read += len(data)
         return data
 
--- a/tests/integration/test_misbehaving_clients.py
+++ b/tests/integration/test_misbehaving_clients.py
@@ -188,6 +188,36 @@
     stays_in_bounds(vm)
 
 
+STALLED = {
+    "heads": lambda: [b"GET /read/x HTTP/1.1\r\nHost: api.example\r\n"],
+    "bodies": lambda: sized(head(deadline_ms=90_000), 100, filler(99)),
+    "buffered-bodies": lambda: sized(head(deadline_ms=90_000), MB, filler(MB - 1)),
+    "large-bodies": lambda: sized(head(deadline_ms=90_000), 2 * MB, filler(2 * MB - 1)),
+    "small-chunks": lambda: chunked(head(deadline_ms=90_000), chunks(1, MB), [b"1\r\n"]),
+    "refused-bodies": lambda: sized(head(path="/none/x", deadline_ms=90_000), 100, filler(99)),
+}
+
+
+@pytest.mark.parametrize("script", STALLED)
+def test_stalled_requests_do_not_keep_ordinary_ones_from_being_served(fleet, patient_vm, script):
+    """The crowd is larger than the daemon has threads, and stays open within its time limits."""
+    vm = patient_vm
+    with Crowd(front(vm), STALLED_CROWD, lambda n: STALLED[script]()) as crowd:
+        crowd.wait()
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+    answers_an_ordinary_request(fleet, vm)
+
+
+def test_stalled_uploads_do_not_keep_the_slots_of_instances(fleet, patient_vm):
+    """The crowd has one upload for each slot, and all pass the replay buffer."""
+    vm = patient_vm
+    with Crowd(front(vm), 4 * len(INSTANCES), lambda n: STALLED["large-bodies"]()) as crowd:
+        crowd.wait()
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+
+
 @pytest.mark.parametrize("port", [name for name in PORTS if name != "front"])
 def test_stalled_heads_do_not_keep_pages_from_being_served(fleet, patient_vm, port):
     vm = patient_vm
@@ -198,6 +228,19 @@
         answers_an_ordinary_request(fleet, vm)
 
 
+def test_clients_that_read_no_answer_do_not_keep_others_from_being_served(fleet, patient_vm):
+    vm = patient_vm
+    request = head("GET", "/read/x", deadline_ms=90_000) + b"\r\n"
+    fleet.set_instances(mode="large")
+    with Crowd(front(vm), STALLED_CROWD, lambda n: [request]) as crowd:
+        crowd.wait()
+        time.sleep(5)
+        fleet.set_instances(mode="ok")
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+    answers_an_ordinary_request(fleet, vm)
+
+
 def test_heads_of_many_small_fields_stay_within_memory(fleet, patient_vm):
     """Guards against the memory of parsed fields, which is many times that of their bytes."""
     vm = patient_vm
--- a/tests/test_forwarders.py
+++ b/tests/test_forwarders.py
@@ -96,6 +96,7 @@
         head_bytes=0,
         memory=unlimited(),
         limit_body=lambda deadline: None,
+        pass_on_body=lambda: None,
     )
     try:
         return forwarder.serve(ex, forwarder.rule_for(ex), monotonic()), None, sends
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -18,6 +18,14 @@
     assert budget.held == 0
 
 
+def test_shortage_of_memory_is_told_to_those_who_can_end_requests():
+    budget = MemoryBudget(REQUESTS_SHARE)
+    one, other = Reservation(budget), Reservation(budget)
+    assert one.grow(MEGABYTE)
+    budget.on_shortage.append(one.close)
+    assert other.grow(MEGABYTE)
+
+
 def test_request_waits_for_memory_that_another_gives_back():
     budget = MemoryBudget(REQUESTS_SHARE)
     one, other = Reservation(budget), Reservation(budget)
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -9,6 +9,7 @@
 
 from gypsumwind.request_bodies import MAX_TRAILER_BYTES, ChunkedBody, SizedBody
 from gypsumwind.streams import BodyError, CallerStream
+from gypsumwind.transfers import Transfers
 from gypsumwind.utils import monotonic
 
 MAX_BODY = 100_000
@@ -34,7 +35,7 @@
 
 
 def stream_of(*pieces):
-    return CallerStream(Feed(pieces))
+    return CallerStream(Feed(pieces), Transfers())
 
 
 def read_all(body, size):
@@ -106,7 +107,7 @@
 def test_body_that_does_not_arrive_until_its_deadline_is_refused():
     near, far = socket.socketpair()
     with near, far:
-        stream = CallerStream(near)
+        stream = CallerStream(near, Transfers())
         stream.deadline = monotonic() - 1.0
         with pytest.raises(BodyError) as caught:
             SizedBody(stream, 5).read(5)
