Connections are bounded by the descriptors and the memory of the machine

Callers saw: 600 idle connections to any port took all 500 descriptors of the test's machine, so that no instance could be reached; each may also keep megabytes unread in the system.

Cause: no limit but the library's for kept connections, 4,096; receive buffers that the system enlarges for fast senders.

Change: shares of `max_fds` (`limits.maxFds` of the platform) by port. Beyond its share a server closes waiting connections with slow heads, then those idle longest, then stalled transfers, then new ones; it does so, too, when descriptors are used up. 64 KB may wait unread on a connection, and callers' connections are as many as a quarter of the memory allows for that.

Evidence: test_idle_connections_leave_descriptors_for_others failed on on all ports; a trial there took 976 KB beyond what was read of an upload, allowed 512 KB in test_bytes_that_wait_unread_are_bounded. Ruled out: refusing new connections at the limit, which leaves it to the crowd. Why it works: idle connections cost a caller one connect; what they held is free before the next accept.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -6,6 +6,7 @@
 
 import selectors
 import socket
+import threading
 import time
 from contextlib import suppress
 from typing import Any
@@ -26,11 +27,14 @@
 FIELD_BYTES = 512
 """Memory of a parsed field beyond its bytes: two dictionary entries with four strings."""
 
+CLOSED_SHARE = 16
+"""Connections that are closed at once when there are too many, as a divisor of their limit."""
+
 ACCEPT_PAUSE_S = 0.05
 """Pause after a connection could not be accepted for want of descriptors, in seconds."""
 
 SLOW_HEAD_S = 1.0
-"""Time after which unfinished heads are refused when memory is short, in seconds."""
+"""Time after which an unfinished head makes its connection the first to be closed, in seconds."""
 
 REQUEST_TIMEOUT = "408 Request Timeout"
 NO_MEMORY = "503 Service Unavailable\r\nRetry-After: 1"
@@ -121,7 +125,7 @@
 
 
 class CallerConnection(HTTPConnection):
-    """A caller's connection."""
+    """A caller's connection, of which at most RECEIVE_BUFFER_BYTES wait unread in the system."""
 
     RequestHandlerClass: Any = CallerRequest
 
@@ -134,6 +138,7 @@
         self.head_began_at: float | None = None
         self._memory = Reservation(server.memory)
         self._held = 0
+        server.open_connections.add(self)
 
     def has_head(self) -> bool:
         """Return whether the head of a request, or one beyond the limit, has arrived."""
@@ -163,10 +168,33 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self.server.open_connections.discard(self)
         self._memory.close()
         super().close()
 
 
+class OpenConnections:
+    """The open connections of a server; thread-safe."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._open: set[Any] = set()
+        self._lock = threading.Lock()
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def add(self, conn: Any) -> None:
+        """Add a connection that was accepted."""
+        with self._lock:
+            self._open.add(conn)
+
+    def discard(self, conn: Any) -> None:
+        """Remove a connection that is closed."""
+        with self._lock:
+            self._open.discard(conn)
+
+
 class WaitingConnections(ConnectionManager):
     """Connections that wait for the head of a request; those with a whole one go to a thread.
 
@@ -180,6 +208,7 @@
     def __init__(self, server: Any) -> None:
         super().__init__(server)
         self.short_of_memory = False
+        self.short_of_descriptors = False
 
     def put(self, conn: CallerConnection) -> None:
         """Wait for the next request on a connection, unless it has arrived."""
@@ -227,6 +256,7 @@
             conn = self._from_server_socket(self.server.socket)  # type: ignore[attr-defined]
         except OSError as exc:
             log.warning("connection-not-accepted", error=str(exc))
+            self.short_of_descriptors = True
             time.sleep(ACCEPT_PAUSE_S)
             return
         if conn is not None:
@@ -244,10 +274,38 @@
             conn.close()
 
     def _bound(self) -> None:
-        """Close connections whose heads are slow, if memory is short."""
+        """Close connections that wait, if descriptors or memory are short."""
         if self.short_of_memory:
             self.short_of_memory = False
             self._expire_heads(SLOW_HEAD_S, NO_MEMORY)
+        limit = self.server.open_connections.limit
+        over = len(self.server.open_connections) - limit
+        if self.short_of_descriptors:
+            self.short_of_descriptors = False
+            over = max(over, 1)
+        if over > 0:
+            self._close_oldest(over, limit // CLOSED_SHARE)
+
+    def _close_oldest(self, over: int, further: int) -> None:
+        """Close connections: with slow heads, idle for longest, with stalled transfers, new ones.
+
+        Of the first two, `further` ones are closed, so that this is rare.
+        """
+        slow_before, idle_before = monotonic() - SLOW_HEAD_S, time.time() - SLOW_HEAD_S
+        slow: list[CallerConnection] = []
+        idle: list[CallerConnection] = []
+        new: list[CallerConnection] = []
+        for conn in sorted(self._waiting(), key=lambda conn: conn.last_used):
+            if conn.head_began_at is not None and conn.head_began_at < slow_before:
+                slow.append(conn)
+            else:
+                (idle if conn.last_used < idle_before else new).append(conn)
+        closed = (slow + idle)[: over + further]
+        ended = self.server.transfers.end_stalled(over - len(closed), "too many connections")
+        closed += new[: max(0, over - len(closed) - ended)]
+        for conn in closed:
+            self._remove(conn)
+        log.info("connections-closed", count=len(closed), slow=len(slow), idle=len(idle))
 
     def _expire(self, threshold: float) -> None:
         """Close connections that were idle for too long, and those with heads that are late."""
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -177,10 +177,11 @@
             cfg, snapshots, self._initial_incarnation, self._records, self._gate, self._home
         )
         enter = self._stack.enter_context
+        shares = cfg.connection_shares()
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
-        for name, port, handler in (
-            ("handoff", cfg.handoff_port, self._handoffs),
-            ("caller", cfg.caller_port, self._callers),
+        for name, port, handler, most in (
+            ("handoff", cfg.handoff_port, self._handoffs, shares.handoffs),
+            ("caller", cfg.caller_port, self._callers, shares.callers),
         ):
             server = Server(
                 name,
@@ -190,6 +191,7 @@
                 handler.handle,
                 limits=lambda: LIMITS,
                 memory=self._memory,
+                max_connections=most,
             )
             handler.in_flight.transfers = server.transfers
             enter(server)
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -223,6 +223,7 @@
             self._dispatch,
             self._hub,
         )
+        shares = cfg.connection_shares()
         enter(PeerServer(cfg.ip, cfg.peer_port, service))
         forwarder = Forwarder(
             snapshots,
@@ -246,6 +247,7 @@
             connections,
             self._caller_limits,
             self._memory,
+            shares.callers,
         )
         self._front.in_flight.transfers = forwarder.transfers = self._server.transfers
         enter(self._server)
@@ -283,7 +285,9 @@
 
     def page_server(self, name: str, ip: str, port: int, handler: Handler) -> Server:
         """Return a server of pages, which shares the memory for requests."""
-        return Server(name, ip, port, PAGE_THREADS, handler, memory=self._memory)
+        most = self._cfg.connection_shares().pages
+        memory = self._memory
+        return Server(name, ip, port, PAGE_THREADS, handler, memory=memory, max_connections=most)
 
     def _caller_limits(self) -> CallerLimits:
         """Return the limits of callers in force: the defaults until the configuration is known."""
--- a/gypsumwind/memory.py
+++ b/gypsumwind/memory.py
@@ -7,6 +7,9 @@
 DEFAULT_MEMORY_MB = 300
 MEGABYTE = 1024 * 1024
 
+RECEIVE_BUFFER_BYTES = 65536
+"""Bytes of a connection that the system keeps until they are read."""
+
 REQUESTS_SHARE = 6
 """The part of a process's memory for requests, as a divisor. The rest is for the program, for its
 threads, and for copies and fragmentation, which take as much again."""
--- a/gypsumwind/platform/settings.py
+++ b/gypsumwind/platform/settings.py
@@ -90,6 +90,7 @@
             "gossip_s": GOSSIP_S,
             "threads": THREADS,
             "memory_mb": self._values.get("limits.memoryMb") or None,
+            "max_fds": self._values.get("limits.maxFds") or None,
         }
         try:
             cfg = read_settings(flags, {})
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -16,7 +16,7 @@
 
 from cheroot.server import Gateway, HTTPServer
 
-from gypsumwind.callers import CallerConnection, WaitingConnections
+from gypsumwind.callers import CallerConnection, OpenConnections, WaitingConnections
 from gypsumwind.calls import (
     H_CODE,
     H_INSTANCE,
@@ -29,7 +29,7 @@
 from gypsumwind.core.verdict import Verdict
 from gypsumwind.errors import Code, RequestError
 from gypsumwind.log import Log
-from gypsumwind.memory import MemoryBudget
+from gypsumwind.memory import RECEIVE_BUFFER_BYTES, MemoryBudget
 from gypsumwind.pools import GrowingPool
 from gypsumwind.transfers import Transfer, Transfers
 from gypsumwind.utils import monotonic
@@ -37,7 +37,7 @@
 log = Log("servers")
 
 BACKLOG = 1024
-MAX_KEEP_ALIVE_CONNECTIONS = 4096
+DEFAULT_MAX_CONNECTIONS = 1024
 MAX_DISCARDED_BYTES = 65536
 ENDED_AT_ONCE = 4
 """Stalled transfers that are ended at once when memory is short."""
@@ -284,11 +284,13 @@
         gateway: type[Gateway],
         limits: Callable[[], CallerLimits],
         memory: MemoryBudget,
+        max_connections: int,
     ) -> None:
         super().__init__(address, gateway)
         self.limits = limits
         self.memory = memory
         self.transfers = Transfers()
+        self.open_connections = OpenConnections(max_connections)
         self.listening = True
         memory.on_shortage.append(self.free_memory)
 
@@ -313,6 +315,12 @@
         vars(self)["_connections"].close()
         self._connections = WaitingConnections(self)
 
+    def bind(self, family: Any, kind: Any, proto: int = 0) -> Any:
+        """Return the bound socket; the connections that it accepts inherit its buffer's size."""
+        sock = super().bind(family, kind, proto)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        return sock
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log unexpected exceptions; an OSError is a connection that was closed."""
         fault = sys.exc_info()[1]
@@ -352,6 +360,7 @@
         connections: type[CallerConnection] = CallerConnection,
         limits: Callable[[], CallerLimits] = CallerLimits,
         memory: MemoryBudget | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         class HandlerGateway(Gateway):
             """Passes each request to the handler."""
@@ -361,13 +370,13 @@
                 handler(getattr(self.req, "exchange", None) or Exchange(self.req))
 
         memory = memory or MemoryBudget()
-        self._http = _Server((ip, port), HandlerGateway, limits, memory)
+        self._http = _Server((ip, port), HandlerGateway, limits, memory, max_connections)
         self._http.requests = GrowingPool(self._http, threads, self._http.relieve)
         self._http.ConnectionClass = connections
         self._http.request_queue_size = BACKLOG
         self._http.server_name = "gypsumwind"
         self._http.expiration_interval = IDLE_CHECK_S
-        self._http.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
+        self._http.keep_alive_conn_limit = max_connections
         self._thread = threading.Thread(target=self._serve, name=name, daemon=True)
 
     @property
--- a/gypsumwind/settings.py
+++ b/gypsumwind/settings.py
@@ -6,10 +6,14 @@
 
 from gypsumwind.core.choice import CHOICES
 from gypsumwind.errors import SettingsError
+from gypsumwind.memory import MEGABYTE, RECEIVE_BUFFER_BYTES
 from gypsumwind.utils import split_address, split_url
 
 ENV_PREFIX = "GYPSUMWIND_"
 TOOL_VARIABLES = ("GYPSUMWIND_ENTRY",)
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that are not for connections."""
+
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
 
 
@@ -57,6 +61,13 @@
     return amount
 
 
+def _descriptors(value: str) -> int:
+    count = _amount(value)
+    if count < 2 * FILE_DESCRIPTORS:
+        raise ValueError(f"{value!r} is below {2 * FILE_DESCRIPTORS}")
+    return count
+
+
 def _seconds(value: str) -> float:
     try:
         seconds = float(value)
@@ -110,6 +121,25 @@
     return tuple(seeds)
 
 
+@dataclass(slots=True, frozen=True)
+class ConnectionShares:
+    """The most open connections of callers, of hand-offs, and of a page's port.
+
+    What they leave of the descriptors is for connections that the process itself opens.
+    """
+
+    callers: int
+    handoffs: int
+    pages: int
+
+
+def connection_shares(sockets: int, memory_mb: int) -> ConnectionShares:
+    """Divide descriptors for sockets; unread bytes of callers may take a quarter of the memory."""
+    unread = memory_mb * MEGABYTE // 4 // RECEIVE_BUFFER_BYTES
+    sixteenth = sockets // 16
+    return ConnectionShares(min(6 * sixteenth, unread), 2 * sixteenth, sixteenth)
+
+
 @dataclass(slots=True, frozen=True)
 class Setting:
     """A setting; `parse` raises ValueError, and a default of None makes it mandatory."""
@@ -160,6 +190,7 @@
     Setting("max_deadline_s", _seconds, "120", "s", "upper limit of deadlines"),
     Setting("threads", _count, "64", "threads", "concurrent requests per port"),
     Setting("memory_mb", _amount, "300", "MB", "memory of this VM; a sixth of it is for requests"),
+    Setting("max_fds", _descriptors, "4100", "descriptors", "open descriptors of this process"),
     Setting("entry_ttl_s", _seconds, "2", "s", "time callers may cache a lookup"),
     Setting("key_ttl_s", _seconds, "3600", "s", "time an idempotency key is stored"),
     Setting("key_capacity", _count, "100000", "keys", "maximum number of stored idempotency keys"),
@@ -210,6 +241,7 @@
     max_deadline_s: float
     threads: int
     memory_mb: int
+    max_fds: int
     entry_ttl_s: float
     key_ttl_s: float
     key_capacity: int
@@ -226,6 +258,10 @@
         for name in SETTING_BY_NAME:
             setattr(self, name, values[name])
 
+    def connection_shares(self) -> ConnectionShares:
+        """Return the limits of open connections by port."""
+        return connection_shares(self.max_fds - FILE_DESCRIPTORS, self.memory_mb)
+
 
 def read_settings(flags: Mapping[str, str | None], env: Mapping[str, str]) -> Settings:
     """Read all settings, flags before variables; SettingsError lists all errors at once."""
--- a/tests/integration/test_misbehaving_clients.py
+++ b/tests/integration/test_misbehaving_clients.py
@@ -1,6 +1,6 @@
 """Clients that keep to no limit, by real processes: the daemon lives, and answers others after.
 
-Memory is checked against the machine of the settings, which is small, so that a
+Memory and descriptors are checked against the machine of the settings, which is small, so that a
 small crowd shows a missing bound.
 """
 
@@ -20,10 +20,14 @@
 INSTANCES = [(f"i-{n}", "lookup", "a1") for n in range(4)]
 
 MEMORY_MB = 120
+MAX_FDS = 500
 CROWD = 100
 STALLED_CROWD = 200
 """More than a daemon has threads."""
 
+IDLE_CROWD = 600
+"""More than a daemon may have descriptors."""
+
 LIMITS_IN_FORCE_S = 2.0
 """Time after which a daemon applies the configured times, also one that does so by the second."""
 
@@ -47,7 +51,7 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    settings = (f"limits.memoryMb={MEMORY_MB}",)
+    settings = (f"limits.memoryMb={MEMORY_MB}", f"limits.maxFds={MAX_FDS}")
     with DirectFleet(tmp_path, f"{BLOCK}.16", INSTANCES, settings=settings) as site:
         yield site
 
@@ -84,6 +88,7 @@
 def stays_in_bounds(vm):
     assert vm.process.poll() is None
     assert strangers.peak_memory_mb(vm.process) < MEMORY_MB
+    assert strangers.open_descriptors(vm.process) < MAX_FDS
 
 
 def front(vm):
@@ -252,6 +257,16 @@
         stays_in_bounds(vm)
 
 
+@pytest.mark.parametrize("port", PORTS.values())
+def test_idle_connections_leave_descriptors_for_others(fleet, patient_vm, port):
+    vm = patient_vm
+    with Crowd((vm.ip, port), IDLE_CROWD, lambda n: []) as crowd:
+        crowd.wait()
+        stays_in_bounds(vm)
+        answers_an_ordinary_request(fleet, vm)
+        stays_in_bounds(vm)
+
+
 def test_head_that_is_longer_than_the_configuration_allows_is_not_run_after_a_start(fleet):
     """Its head is read before the process knows the limit, which is 16 KB."""
     vm = fleet.vms["vm-1"].start()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,13 +1,17 @@
 """Tests of callers' connections on a server without a daemon."""
 
+import errno
 import re
 import socket
+import threading
+import time
 from contextlib import ExitStack, contextmanager
 
 import pytest
 
+from gypsumwind.callers import SLOW_HEAD_S
 from gypsumwind.core.rules import CallerLimits
-from gypsumwind.memory import REQUESTS_SHARE, MemoryBudget
+from gypsumwind.memory import RECEIVE_BUFFER_BYTES, REQUESTS_SHARE, MemoryBudget
 from gypsumwind.servers import Server
 from tests.standins.fleet import wait_until
 
@@ -82,6 +86,38 @@
         assert status_of(sock) == 408
 
 
+def test_beyond_the_limit_of_connections_slow_and_idle_ones_are_closed():
+    with serving(max_connections=16) as server, ExitStack() as stack:
+        idle = [stack.enter_context(connect()) for _ in range(40)]
+        with connect() as sock:
+            sock.sendall(GET)
+            assert status_of(sock) == 200
+        assert status_of(idle[0]) == 0
+        wait_until(lambda: len(server._http.open_connections) <= 16, text="few are left open")
+
+
+def test_idle_connections_are_closed_when_descriptors_are_used_up():
+    """The process may have fewer than its settings say."""
+    with serving() as server, ExitStack() as stack:
+        idle = [stack.enter_context(connect()) for _ in range(4)]
+        waiting = server._http._connections
+        wait_until(lambda: len(server._http.open_connections) == 4, text="all are accepted")
+        time.sleep(SLOW_HEAD_S)
+        accept = waiting._from_server_socket
+        failures = [OSError(errno.EMFILE, "too many open files")]
+
+        def accept_later(sock):
+            if failures:
+                raise failures.pop()
+            return accept(sock)
+
+        waiting._from_server_socket = accept_later
+        with connect() as sock:
+            sock.sendall(GET)
+            assert status_of(sock) == 200
+        assert status_of(idle[0]) == 0
+
+
 def test_rest_of_a_body_that_no_page_reads_is_not_taken_for_a_request():
     body = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
     last = GET[:-2] + b"Connection: close\r\n\r\n"
@@ -104,3 +140,28 @@
         with connect() as other:
             other.sendall(GET)
             assert status_of(other) == 200
+
+
+def test_bytes_that_wait_unread_are_bounded():
+    """Guards against receive buffers that the system enlarges for callers that send fast."""
+    stop = threading.Event()
+
+    def read_some(ex):
+        for _, part in zip(range(200), ex.body.chunks(), strict=False):
+            del part
+        stop.wait(60)
+
+    limits = CallerLimits(body_bytes=2**30)
+    with serving(read_some, limits), connect() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n")
+        sock.settimeout(2)
+        sent = 0
+        try:
+            while sent < 200_000_000:
+                sent += sock.send(b"x" * 65536)
+        except TimeoutError:
+            pass
+        stop.set()
+        read = 200 * 65536
+        assert sent <= read + 2 * 131072 + 4 * RECEIVE_BUFFER_BYTES
