Calls and datagrams of other VMs are checked and bounded before they are decoded

Callers saw: nothing yet; found while looking at every port. One datagram of 64 KB hung the process for hours; a frame that states 1 GB, frames within a string, 100 unfinished calls and lists of empty structs took the memory (627 MB in a trial with four calls of 1 MB); 600 connections took all descriptors, with a thread each.

Cause: the library decodes containers of any stated length without pause, two billion values that take no byte included (8.6 s for each such list by extrapolation from 10^7, measured 0.04 s); values take hundreds of times their bytes; frames have no limit.

Change: `thrift_shape` walks through a message and counts its values before it is decoded; calls have at most 8 MB and 65,536 values, datagrams 16 KB, both count towards the memory for requests; calls arrive within 5 s, and beyond the limit of connections the one that arrives for longest is closed; 128 datagrams may wait; members are at most 16,384 with short names.

Ruled out: limits of the library (depth only). Why it works: nothing is decoded whose size and number of values are not known to be small.

--- a/gypsumwind/control_traffic.py
+++ b/gypsumwind/control_traffic.py
@@ -1,9 +1,13 @@
 """Counts the bytes of the control plane: probes, records, claims and hand-overs."""
 
+import socket
 import threading
 
 from thriftpy2.transport import TServerSocket, TSocket
 
+RECEIVE_BUFFER_BYTES = 262144
+"""Bytes of a connection that the system keeps until they are read; calls cross regions."""
+
 
 class ByteCounter:
     """A thread-safe count of bytes sent and received since the start of the process."""
@@ -44,6 +48,12 @@
 class CountedServerSocket(TServerSocket):
     """A Thrift server socket whose connections count their bytes."""
 
+    def listen(self) -> None:
+        """Listen; the connections accepted inherit the size of the buffer."""
+        super().listen()
+        assert self.sock is not None
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def accept(self) -> CountedSocket:
         """Accept a connection as a CountedSocket."""
         plain = super().accept()
--- a/gypsumwind/core/membership.py
+++ b/gypsumwind/core/membership.py
@@ -12,6 +12,9 @@
 
 from gypsumwind.core.rendezvous import rank
 
+MAX_MEMBERS = 16384
+"""Members that are remembered; twice those of the largest fleet planned."""
+
 CONTACTS_PER_FOREIGN_ZONE = 3
 INDIRECT_PROBES = 3
 UPDATES_PER_MESSAGE = 8
@@ -267,7 +270,8 @@
             return
         known = self.members.get(update.vm)
         if known is None:
-            if update.state < State.DEAD and self._should_track(update):
+            room = len(self.members) < MAX_MEMBERS
+            if room and update.state < State.DEAD and self._should_track(update):
                 self._set(update, now)
                 self._trim_contacts(update.zone)
             return
--- a/gypsumwind/daemon.py
+++ b/gypsumwind/daemon.py
@@ -178,7 +178,7 @@
         )
         enter = self._stack.enter_context
         shares = cfg.connection_shares()
-        enter(PeerServer(cfg.ip, cfg.peer_port, service))
+        enter(PeerServer(cfg.ip, cfg.peer_port, service, self._memory, shares.peers))
         for name, port, handler, most in (
             ("handoff", cfg.handoff_port, self._handoffs, shares.handoffs),
             ("caller", cfg.caller_port, self._callers, shares.callers),
--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -224,7 +224,7 @@
             self._hub,
         )
         shares = cfg.connection_shares()
-        enter(PeerServer(cfg.ip, cfg.peer_port, service))
+        enter(PeerServer(cfg.ip, cfg.peer_port, service, self._memory, shares.peers))
         forwarder = Forwarder(
             snapshots,
             self._dispatch,
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -1,21 +1,27 @@
 """RPC between daemons: Thrift over TCP with a connection per call; the client and the service."""
 
 import socket
+import struct
 import threading
+import time
 from collections.abc import Sequence
+from contextlib import suppress
 from types import TracebackType
 from typing import Any
 
 import pykka
 from thriftpy2.protocol import TBinaryProtocol, TBinaryProtocolFactory
-from thriftpy2.server import TThreadedServer
 from thriftpy2.thrift import TClient, TProcessor
 from thriftpy2.transport import (
     TFramedTransport,
     TFramedTransportFactory,
+    TMemoryBuffer,
+    TTransportException,
 )
 
 from gypsumwind import messages as msg
+from gypsumwind.callers import ACCEPT_PAUSE_S
+from gypsumwind.calls import CHUNK_BYTES
 from gypsumwind.control_traffic import CountedServerSocket, CountedSocket, control_bytes
 from gypsumwind.core.admission import Usage
 from gypsumwind.core.idempotency import KeyEntry
@@ -24,9 +30,12 @@
 from gypsumwind.core.records import Record
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, GypsumwindError
+from gypsumwind.log import Log
+from gypsumwind.memory import MemoryBudget, Reservation
 from gypsumwind.relays import RelayHub, RelayUpdate
-from gypsumwind.settings import Settings
+from gypsumwind.settings import MAX_PEERS, Settings
 from gypsumwind.snapshots import Snapshots
+from gypsumwind.thrift_shape import VALUE_BYTES, count_message_values
 from gypsumwind.utils import monotonic
 from gypsumwind.wire import (
     claim_from_wire,
@@ -50,7 +59,24 @@
     versions_to_wire,
 )
 
-MAX_DATAGRAM_BYTES = 65536
+log = Log("peers")
+
+MAX_DATAGRAM_BYTES = 16384
+"""Largest datagram that is decoded; those of this project have some ten members."""
+
+MAX_WAITING_DATAGRAMS = 128
+"""Messages to the members actor beyond which datagrams are dropped, as a network may drop them."""
+
+CALL_TIMEOUT_S = msg.ASK_TIMEOUT_S
+"""Longest time in which a call has to arrive, in seconds."""
+
+MAX_CALL_BYTES = 8 * 1024 * 1024
+"""Largest call: records of all tables of a fleet, each at most 1 MB."""
+
+MAX_CALL_VALUES = 65536
+"""Most values in a call: ten thousand records."""
+
+FRAME_SIZE = struct.Struct("!i")
 
 
 class PeerError(GypsumwindError):
@@ -237,19 +263,111 @@
         return bool(msg.ask(self._gate, msg.VoidAttempt(attempt, deadline)))
 
 
+class _Call:
+    """A connection of another VM; `reading_since` is None while its call is served."""
+
+    __slots__ = ("client", "reading_since")
+
+    def __init__(self, client: CountedSocket) -> None:
+        self.client = client
+        self.reading_since: float | None = monotonic()
+
+
 class PeerServer:
-    """The Thrift server of a daemon."""
-
-    def __init__(self, ip: str, port: int, service: PeerService) -> None:
-        trans = CountedServerSocket(ip, port, client_timeout=int(msg.ASK_TIMEOUT_S * 1000))
-        self._server = TThreadedServer(
-            TProcessor(thrift.Peer, service),
-            trans,
-            iprot_factory=TBinaryProtocolFactory(),
-            itrans_factory=TFramedTransportFactory(),
-            daemon=True,
-        )
-        self._thread = threading.Thread(target=self._server.serve, name="peer", daemon=True)
+    """The Thrift server of a daemon: a thread for each connection, up to a limit.
+
+    The bytes and the values of calls count towards `memory`.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        service: PeerService,
+        memory: MemoryBudget | None = None,
+        max_connections: int = MAX_PEERS,
+    ) -> None:
+        self._listener = CountedServerSocket(ip, port, client_timeout=int(CALL_TIMEOUT_S * 1000))
+        self._processor = TProcessor(thrift.Peer, service)
+        self._memory = memory or MemoryBudget()
+        self._max_connections = max_connections
+        self._calls: set[_Call] = set()
+        self._lock = threading.Lock()
+        self._closed = False
+        self._thread = threading.Thread(target=self._serve, name="peer", daemon=True)
+
+    def _serve(self) -> None:
+        self._listener.listen()
+        while not self._closed:
+            try:
+                call = _Call(self._listener.accept())
+            except OSError as exc:
+                if not self._closed:
+                    log.warning("connection-not-accepted", error=str(exc))
+                    time.sleep(ACCEPT_PAUSE_S)
+                continue
+            if self._admit(call):
+                threading.Thread(target=self._handle, args=(call,), daemon=True).start()
+            else:
+                call.client.close()
+
+    def _admit(self, call: _Call) -> bool:
+        """Add a call; at the limit, only instead of the one that has been arriving for longest."""
+        with self._lock:
+            if len(self._calls) >= self._max_connections:
+                arriving = [c for c in self._calls if c.reading_since is not None]
+                oldest = min(arriving, key=lambda c: c.reading_since or 0.0, default=None)
+                log.info("call-refused", open=len(self._calls), arriving=len(arriving))
+                if oldest is None:
+                    return False
+                self._calls.discard(oldest)
+                with suppress(OSError):
+                    oldest.client.sock.shutdown(socket.SHUT_RDWR)
+            self._calls.add(call)
+            return True
+
+    def _handle(self, call: _Call) -> None:
+        """Serve the calls on a connection until it ends."""
+        protocols = TBinaryProtocolFactory()
+        oprot = protocols.get_protocol(TFramedTransportFactory().get_transport(call.client))
+        try:
+            while True:
+                with Reservation(self._memory) as memory:
+                    frame = self._read_frame(call, memory)
+                    call.reading_since = None
+                    call.client.sock.settimeout(CALL_TIMEOUT_S)
+                    self._processor.process(protocols.get_protocol(TMemoryBuffer(frame)), oprot)
+                    call.reading_since = monotonic()
+        except (TTransportException, OSError):
+            return
+        except Exception as exc:
+            log.warning("call-failed", error=repr(exc))
+        finally:
+            with self._lock:
+                self._calls.discard(call)
+            call.client.close()
+
+    def _read_frame(self, call: _Call, memory: Reservation) -> bytes:
+        """Read a call; ValueError if it is malformed or too large, or if there is no memory."""
+        deadline = monotonic() + CALL_TIMEOUT_S
+        (size,) = FRAME_SIZE.unpack(self._receive(call, FRAME_SIZE.size, deadline, memory))
+        if not 0 < size <= MAX_CALL_BYTES:
+            raise ValueError(f"a call of {size} bytes, allowed {MAX_CALL_BYTES}")
+        frame = self._receive(call, size, deadline, memory)
+        values = count_message_values(frame, MAX_CALL_VALUES)
+        if not memory.grow(values * VALUE_BYTES):
+            raise ValueError(f"no memory for a call of {values} values")
+        return frame
+
+    def _receive(self, call: _Call, size: int, deadline: float, memory: Reservation) -> bytes:
+        data = bytearray()
+        while len(data) < size:
+            call.client.sock.settimeout(max(0.001, deadline - monotonic()))
+            part = call.client.read(min(CHUNK_BYTES, size - len(data)))
+            if not memory.grow(len(part)):
+                raise ValueError(f"no memory for a call of {size} bytes")
+            data += part
+        return bytes(data)
 
     def __enter__(self) -> "PeerServer":
         self._thread.start()
@@ -261,7 +379,8 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._server.close()
+        self._closed = True
+        self._listener.close()
 
 
 class ProbeListener:
@@ -275,11 +394,15 @@
     def _receive(self) -> None:
         while True:
             try:
-                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError:
                 return
             control_bytes.add(len(data))
-            self._deliver(data)
+            waiting = self._members.actor_inbox.qsize()  # type: ignore[attr-defined]
+            if len(data) > MAX_DATAGRAM_BYTES or waiting >= MAX_WAITING_DATAGRAMS:
+                log.warning("datagram-dropped", size=len(data), waiting=waiting)
+            else:
+                self._deliver(data)
 
     def _deliver(self, data: bytes) -> None:
         try:
--- a/gypsumwind/settings.py
+++ b/gypsumwind/settings.py
@@ -11,6 +11,9 @@
 
 ENV_PREFIX = "GYPSUMWIND_"
 TOOL_VARIABLES = ("GYPSUMWIND_ENTRY",)
+MAX_PEERS = 256
+"""Most calls of other VMs at once: three long polls of each follower, and gossip."""
+
 FILE_DESCRIPTORS = 200
 """Descriptors of a process that are not for connections."""
 
@@ -123,21 +126,27 @@
 
 @dataclass(slots=True, frozen=True)
 class ConnectionShares:
-    """The most open connections of callers, of hand-offs, and of a page's port.
+    """The most open connections of callers, of other VMs (hand-offs, calls), and of a page's port.
 
     What they leave of the descriptors is for connections that the process itself opens.
     """
 
     callers: int
     handoffs: int
+    peers: int
     pages: int
 
 
 def connection_shares(sockets: int, memory_mb: int) -> ConnectionShares:
-    """Divide descriptors for sockets; unread bytes of callers may take a quarter of the memory."""
+    """Divide descriptors for sockets; what may wait unread on callers' takes a quarter of memory.
+
+    A peer's connection takes a thread.
+    """
     unread = memory_mb * MEGABYTE // 4 // RECEIVE_BUFFER_BYTES
     sixteenth = sockets // 16
-    return ConnectionShares(min(6 * sixteenth, unread), 2 * sixteenth, sixteenth)
+    return ConnectionShares(
+        min(6 * sixteenth, unread), 2 * sixteenth, min(sixteenth, MAX_PEERS), sixteenth
+    )
 
 
 @dataclass(slots=True, frozen=True)
--- a/gypsumwind/wire.py
+++ b/gypsumwind/wire.py
@@ -16,11 +16,18 @@
 from gypsumwind.core.versions import Version
 from gypsumwind.messages import HomeId, HomeState, StoredOutcome
 from gypsumwind.relays import RelayUpdate
+from gypsumwind.thrift_shape import count_struct_values
 from gypsumwind.utils import pack_json, unpack_json
 
 thrift: Any = thriftpy2.load(
     str(files("gypsumwind") / "gypsumwind.thrift"), module_name="gypsumwind_thrift"
 )
+MAX_NAME_CHARS = 255
+"""Longest name of a VM or a zone in a datagram; the members are remembered by them."""
+
+MAX_VALUES = 16384
+"""Most values in a record or a datagram."""
+
 _PROTOCOL = TBinaryProtocolFactory()
 
 
@@ -31,6 +38,7 @@
 
 def unpack(kind: type, data: bytes) -> Any:
     """Decode a Thrift struct of a type; ValueError if the bytes are malformed."""
+    count_struct_values(data, MAX_VALUES)
     try:
         return deserialize(kind(), data, _PROTOCOL)
     except Exception as exc:
@@ -56,7 +64,9 @@
 
 
 def member_from_wire(wire: Any) -> Member:
-    """Convert a member from Thrift."""
+    """Convert a member from Thrift; ValueError if a name is too long."""
+    if len(wire.vm) > MAX_NAME_CHARS or len(wire.zone) > MAX_NAME_CHARS:
+        raise ValueError("name of a VM or a zone is too long")
     endpoint = endpoint_from_wire(wire.endpoint)
     return Member(wire.vm, wire.zone, endpoint, wire.incarnation, State(wire.state))
 
--- a/tests/integration/test_misbehaving_clients.py
+++ b/tests/integration/test_misbehaving_clients.py
@@ -6,6 +6,7 @@
 
 import os
 import socket
+import struct
 import time
 
 import pytest
@@ -40,6 +41,7 @@
     "directory": platform.DIRECTORY_PORT,
     "control": platform.CONTROL_PORT,
 }
+PEER_PORT = platform.INTERNAL_PORT
 
 
 def patient_config():
@@ -257,7 +259,7 @@
         stays_in_bounds(vm)
 
 
-@pytest.mark.parametrize("port", PORTS.values())
+@pytest.mark.parametrize("port", [*PORTS.values(), PEER_PORT])
 def test_idle_connections_leave_descriptors_for_others(fleet, patient_vm, port):
     vm = patient_vm
     with Crowd((vm.ip, port), IDLE_CROWD, lambda n: []) as crowd:
@@ -267,6 +269,67 @@
         stays_in_bounds(vm)
 
 
+def framed(body):
+    return struct.pack("!i", len(body)) + body
+
+
+CALL = struct.pack("!I", 0x80010001) + struct.pack("!i", 8) + b"exchange" + struct.pack("!i", 1)
+"""Begin of a call of the peer service over Thrift."""
+
+EMPTY_RECORDS = b"\x0f\x00\x01\x0c" + struct.pack("!i", MB) + b"\x00" * MB + b"\x00"
+"""Its first argument: a list of structs, each without a field."""
+
+PEER_FRAMES = {
+    "frame-of-1-GB": lambda: [struct.pack("!i", 1024 * MB), *filler(SENT_IN_LINES)],
+    "frames-within-a-string": lambda: (
+        part
+        for n in range(SENT_IN_LINES // MB)
+        for part in (
+            framed(CALL[:4] + struct.pack("!i", 1024 * MB)) if n == 0 else b"",
+            framed(b"f" * MB),
+        )
+    ),
+    "empty-structs": lambda: [framed(CALL + EMPTY_RECORDS)],
+}
+
+
+@pytest.mark.parametrize("frames", PEER_FRAMES)
+def test_calls_of_strangers_to_the_port_for_other_vms_stay_within_memory(fleet, vm, frames):
+    with Crowd((vm.ip, PEER_PORT), 4, lambda n: PEER_FRAMES[frames]()) as crowd:
+        crowd.wait().wait_for_answers()
+        stays_in_bounds(vm)
+        answers_an_ordinary_request(fleet, vm)
+    stays_in_bounds(vm)
+
+
+def test_unfinished_calls_to_the_port_for_other_vms_stay_within_memory(fleet, vm):
+    script = [struct.pack("!i", 2 * MB), *filler(2 * MB - 1)]
+    with Crowd((vm.ip, PEER_PORT), CROWD, lambda n: script) as crowd:
+        crowd.wait()
+        stays_in_bounds(vm)
+        answers_an_ordinary_request(fleet, vm)
+    stays_in_bounds(vm)
+
+
+VOID_LIST = b"\x0f\x00\x04\x01" + struct.pack("!i", 2**31 - 1)
+"""A list of 2^31 values that take no byte each: seconds of decoding."""
+
+
+def test_datagram_of_lists_without_bytes_does_not_hang_the_process(fleet, vm):
+    """One datagram of 64 KB would keep the interpreter for hours."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(VOID_LIST * 8000, (vm.ip, PEER_PORT))
+    answers_an_ordinary_request(fleet, vm)
+    stays_in_bounds(vm)
+
+
+def test_call_of_lists_without_bytes_does_not_hang_the_process(fleet, vm):
+    with Crowd((vm.ip, PEER_PORT), 1, lambda n: [framed(CALL + VOID_LIST * 8000)]) as crowd:
+        crowd.wait()
+        answers_an_ordinary_request(fleet, vm)
+    stays_in_bounds(vm)
+
+
 def test_head_that_is_longer_than_the_configuration_allows_is_not_run_after_a_start(fleet):
     """Its head is read before the process knows the limit, which is 16 KB."""
     vm = fleet.vms["vm-1"].start()
