--- a/Makefile
+++ b/Makefile
@@ -14,11 +14,11 @@
 setup: $(VENV)/.ready
 
 # Tests that measure the memory of a process run one at a time, apart from the others.
-ALONE := tests/integration/test_misbehaving_clients.py
+ALONE := tests/integration/test_misbehaving_clients.py tests/integration/test_misbehaving_clients_owned.py
 
 test: setup
 	$(PY) -m pytest -q -p tests.known_red $(ALONE)
-	$(PY) -m pytest -q -p tests.known_red -n 3 --dist loadfile --ignore $(ALONE)
+	$(PY) -m pytest -q -p tests.known_red -n 3 --dist loadfile $(ALONE:%=--ignore %)
 
 lint: setup
 	$(VENV)/bin/black --check -q gypsumwind tests bench
