The port for other VMs stays open when a call gets no thread

Callers saw: nothing; found when the change was read once more. In the loop that accepts calls caught errors of accepting only, where the library's loop before it caught every error: one failure to start a thread ended it, and with it all calls of other VMs.

Evidence: the new test failed before the fix (no call was answered in 30 s) and passes after it; the tests of crowds on that port, 8 passed. Why it works: any error of one connection is logged and the loop goes on; a call without a thread is closed and counted out.

--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -300,16 +300,27 @@
         self._listener.listen()
         while not self._closed:
             try:
-                call = _Call(self._listener.accept())
-            except OSError as exc:
+                self._accept()
+            except Exception as exc:
                 if not self._closed:
-                    log.warning("connection-not-accepted", error=str(exc))
+                    log.warning("connection-not-accepted", error=repr(exc))
                     time.sleep(ACCEPT_PAUSE_S)
-                continue
-            if self._admit(call):
-                threading.Thread(target=self._handle, args=(call,), daemon=True).start()
-            else:
-                call.client.close()
+
+    def _accept(self) -> None:
+        call = _Call(self._listener.accept())
+        if not self._admit(call):
+            call.client.close()
+            return
+        try:
+            threading.Thread(target=self._handle, args=(call,), daemon=True).start()
+        except RuntimeError:
+            self._end(call)
+            raise
+
+    def _end(self, call: _Call) -> None:
+        with self._lock:
+            self._calls.discard(call)
+        call.client.close()
 
     def _admit(self, call: _Call) -> bool:
         """Add a call; at the limit, only instead of the one that has been arriving for longest."""
@@ -343,9 +354,7 @@
         except Exception as exc:
             log.warning("call-failed", error=repr(exc))
         finally:
-            with self._lock:
-                self._calls.discard(call)
-            call.client.close()
+            self._end(call)
 
     def _read_frame(self, call: _Call, memory: Reservation) -> bytes:
         """Read a call; ValueError if it is malformed or too large, or if there is no memory."""
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,35 @@
+"""Tests of the server for calls of other VMs without a daemon."""
+
+import threading
+from types import SimpleNamespace
+
+from gypsumwind.core.membership import Endpoint
+from gypsumwind.peers import PeerClient, PeerError, PeerServer
+from tests.standins.fleet import wait_until
+
+PORT = 18495
+
+
+def test_port_stays_open_when_a_call_gets_no_thread(monkeypatch):
+    """Guards against one failure to start a thread that ends all calls of other VMs."""
+    endpoint, client = Endpoint("127.0.0.1", 0, 0, PORT), PeerClient("127.0.0.1", 5.0)
+    start, failed = threading.Thread.start, []
+
+    def start_later(thread):
+        if getattr(thread, "_target", None) == server._handle and not failed:
+            failed.append(thread)
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    def ping():
+        try:
+            return client.ping(endpoint)
+        except PeerError:
+            return None
+
+    server = PeerServer("127.0.0.1", PORT, SimpleNamespace(ping=lambda: 7))
+    monkeypatch.setattr(threading.Thread, "start", start_later)
+    with server:
+        assert wait_until(ping, text="a call is answered") == 7
+        assert failed
+        wait_until(lambda: not server._calls, text="no call is left open")
