--- a/review/common2/kit.py
+++ b/review/common2/kit.py
@@ -340,7 +340,7 @@
         lines = [
             f"nodeName={self.name}", "role=entry", "machineClass=edge",
             "serves=edge,control_plane,directory", f"ip={self.ip}", f"zone={self.zone}",
-            "region=a", "zones.a1=a", "zones.a2=a",
+            "region=a", *(f"zones.{name}=a" for name in sorted({"a1", "a2", *(vm.zone for vm in d.vms)})),
             *(f"listen.{n}={self.ip}:{ports[n]}"
               for n in ("front", "readiness", "control", "directory")),
             f"internalPorts={ports['internal']},{ports['internal'] + 15}", f"seeds={seeds}",
