Silent sources: changes reach a VM in time though its delegates stand still

Cause: a VM asked its sources one after the other, each for the whole time of a call that waits for changes (1.5 s), before the next one and the store: 0.5 + 1.5 + 1.5 s. A VM that stands still accepts connections, so each call takes all its time. The second delegate was no help: it reports only its own answers from the store, so while it followed the first one it counted as too stale, and the whole zone went to the store. A relay that lost its delegate passed its delay on.

The call that a source answers a byte at a time did not end on within 5 s, now by its deadline.

Ruled out: the store (not disturbed, read at once when asked), membership (a silent VM is left out only after some 3 s; a bound must not rest on it), the grace period of entries (the list was read late, not kept).

Fix: each call for changes has a deadline for all of it. Only the call to the current source waits; others have 0.3 s. Waits for high-rate feeds are 0.5 s. Relays and the second delegate call twice as often, so the second one replaces a silent first one before the others give up; they poll it for 0.6 s before they read the store. A delegate is left from a staleness of 1.35 s on, a relay from 1.9 s. Weighed, not built: a second delegate that follows the store itself doubles the calls of a zone, which tests bound. Tried, replaced: a pause after a stale answer of the second delegate, which sent followers to the store when the first fell silent soon after.

--- a/gypsumwind/direct.py
+++ b/gypsumwind/direct.py
@@ -19,6 +19,7 @@
 from gypsumwind.core.isolation import IsolationNotice
 from gypsumwind.core.lookup import Entry, entries_for
 from gypsumwind.core.membership import Endpoint, Member, Membership, State, Timing
+from gypsumwind.core.propagation import HIGH_RATE_INTERVAL_S, LOW_RATE_INTERVAL_S
 from gypsumwind.core.rate_limits import RateLimit
 from gypsumwind.core.records import CONFIG_SCOPE, Record
 from gypsumwind.core.restores import ZoneClosures, zone_closures_to_json
@@ -60,7 +61,7 @@
 from gypsumwind.peers import PeerClient, PeerServer, PeerService, ProbeListener
 from gypsumwind.pipelines import connection_class
 from gypsumwind.records import RecordsActor
-from gypsumwind.relays import FOLLOW_LONG_POLL_S, Codec, RelayHub
+from gypsumwind.relays import Codec, RelayHub
 from gypsumwind.servers import IDLE_CHECK_S, Handler, Server
 from gypsumwind.settings import Settings
 from gypsumwind.snapshots import Snapshots
@@ -71,15 +72,6 @@
 
 log = Log("direct")
 
-UPSTREAMS_MIN_INTERVAL_S = 0.5
-"""Minimum interval between calls for upstream changes, which occur many times a second."""
-
-DEFAULT_MIN_INTERVAL_S = 0.05
-"""Minimum interval between calls for feeds that change rarely."""
-
-FOLLOW_TIMEOUT_S = FOLLOW_LONG_POLL_S + 0.5
-"""Timeout of a follow call: its long poll plus half a second for the network within a zone."""
-
 CODECS = {
     "rules": Codec(ruleset_to_json, ruleset_from_json),
     "upstreams": Codec(asdict, upstream_from_json),
@@ -308,20 +300,18 @@
         """Return the feed tasks by the key of the record that each updates."""
         feeds = self._feeds
         return {
-            RULES_KEY: self._feed_task(
-                "rules", feeds.rules, DEFAULT_MIN_INTERVAL_S, self._put_rules
-            ),
+            RULES_KEY: self._feed_task("rules", feeds.rules, LOW_RATE_INTERVAL_S, self._put_rules),
             UPSTREAMS_KEY: self._feed_task(
                 "upstreams",
                 feeds.upstreams,
-                UPSTREAMS_MIN_INTERVAL_S,
+                HIGH_RATE_INTERVAL_S,
                 self._put_upstreams,
                 lambda: self.snapshots.upstreams.version,
             ),
             CLOSED_ZONES_KEY: self._feed_task(
                 "closed-zones",
                 feeds.closed_zones,
-                DEFAULT_MIN_INTERVAL_S,
+                LOW_RATE_INTERVAL_S,
                 self._put_closed_zones,
                 lambda: self.snapshots.closed_zones.version,
             ),
@@ -342,9 +332,18 @@
         """Return the task of a feed, which follows another VM of the zone or the store."""
         cfg = self._cfg
         zone = ZoneView(cfg.vm, cfg.zone, self.snapshots)
-        follow = PeerClient(cfg.ip, FOLLOW_TIMEOUT_S).follow
+        follow = PeerClient(cfg.ip, cfg.peer_timeout_s).follow
         feed = RelayedFeed(name, store_feed, zone, self._hub, follow, self._outages)
-        return FeedTask(name, feed, min_interval_s, put, self._rng, in_force, self._outages)
+        return FeedTask(
+            name,
+            feed,
+            min_interval_s,
+            put,
+            self._rng,
+            in_force,
+            self._outages,
+            feed.max_interval_s,
+        )
 
     def _put_rules(self, values: Mapping[str, Ruleset], version: Version, grace_s: float) -> None:
         """Publish rules under their own version, which a restore of the store does not lower."""
--- a/gypsumwind/feeds.py
+++ b/gypsumwind/feeds.py
@@ -72,7 +72,8 @@
     `min_interval_s` is the minimum time between two calls; it batches frequent changes. `in_force`
     returns the version of the list in force, which a peer may have reported in an outage: a later
     answer replaces it, also if the feed itself saw no change. None if no list replaces a later one.
-    `outages` is shared by the feeds of a VM.
+    `outages` is shared by the feeds of a VM. `max_interval_s` returns the longest pause that the
+    VM's role allows.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         rng: random.Random,
         in_force: Callable[[], Version] | None = None,
         outages: OutageHistory | None = None,
+        max_interval_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         super().__init__(f"feed-{name}", min_interval_s)
         self._outages = outages or OutageHistory()
@@ -91,6 +93,7 @@
         self._published = Version()
         self._feed = feed
         self._min_interval_s = min_interval_s
+        self._max_interval_s = max_interval_s
         self._publish = publish
         self._rng = rng
         self._values: dict[str, Any] = {}
@@ -119,7 +122,9 @@
 
     def pause_s(self) -> float:
         """Return the pause before the next call: the jittered backoff, or the minimum interval."""
-        return jittered(self._backoff_s, self._rng) if self._backoff_s else self._min_interval_s
+        if self._backoff_s:
+            return jittered(self._backoff_s, self._rng)
+        return min(self._min_interval_s, self._max_interval_s())
 
     def step(self) -> None:
         """Read the list, or wait for changes to it."""
--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -86,22 +86,56 @@
         super().__init__(Code.PEER_UNREACHABLE, message)
 
 
+class _DeadlineSocket(CountedSocket):
+    """A Thrift socket whose reads and writes end by a deadline, however many there are."""
+
+    def __init__(self, sock: socket.socket, deadline: float) -> None:
+        super().__init__(sock=sock)
+        self._deadline = deadline
+
+    def read(self, sz: int) -> bytes:
+        """Read bytes; TimeoutError at the deadline."""
+        self._limit()
+        return super().read(sz)
+
+    def write(self, buff: bytes) -> None:
+        """Write bytes; TimeoutError at the deadline."""
+        self._limit()
+        super().write(buff)
+
+    def _limit(self) -> None:
+        assert self.sock is not None
+        self.sock.settimeout(_remaining_s(self._deadline))
+
+
+def _remaining_s(deadline: float) -> float:
+    """Return the timeout of an operation that ends by a deadline; 0 would not wait at all."""
+    return max(0.001, deadline - monotonic())
+
+
 class PeerClient:
-    """RPC client for other daemons; each call has its own connection and a timeout."""
+    """RPC client for other daemons; each call has its own connection and a timeout.
+
+    Calls without a deadline of their own may take `timeout_s` to connect and for each answer.
+    """
 
     def __init__(self, ip: str, timeout_s: float) -> None:
         self._ip = ip
         self._timeout_s = timeout_s
 
-    def _call(self, to: Endpoint, method: str, *args: Any) -> Any:
+    def _call(self, to: Endpoint, method: str, *args: Any, deadline: float | None = None) -> Any:
+        connect_s = self._timeout_s if deadline is None else _remaining_s(deadline)
         try:
             sock = socket.create_connection(
-                (to.ip, to.peer_port), self._timeout_s, source_address=(self._ip, 0)
+                (to.ip, to.peer_port), connect_s, source_address=(self._ip, 0)
             )
         except OSError as exc:
             raise PeerError(f"{to.ip}:{to.peer_port}: {exc}") from exc
         with sock:
-            transport = TFramedTransport(CountedSocket(sock=sock))
+            counted = (
+                CountedSocket(sock=sock) if deadline is None else _DeadlineSocket(sock, deadline)
+            )
+            transport = TFramedTransport(counted)
             client = TClient(thrift.Peer, TBinaryProtocol(transport))
             try:
                 return getattr(client, method)(*args)
@@ -156,10 +190,14 @@
         self._call(to, "inherit", homes_to_wire(homes), wire)
 
     def follow(
-        self, to: Endpoint, feed: str, log: int, position: int, wait_s: float
+        self, to: Endpoint, feed: str, log: int, position: int, wait_s: float, deadline: float
     ) -> RelayUpdate:
-        """Long-poll a relay for the changes after a position of a feed's changelog."""
-        wire = self._call(to, "follow", feed, log, position, int(wait_s * 1000))
+        """Long-poll a relay for the changes after a position of a feed's changelog.
+
+        PeerError by the deadline, on this process's clock, at the latest.
+        """
+        wait_ms = int(wait_s * 1000)
+        wire = self._call(to, "follow", feed, log, position, wait_ms, deadline=deadline)
         return relay_update_from_wire(wire)
 
     def void_attempt(self, to: Endpoint, attempt: str, remaining_ms: int, incarnation: int) -> bool:
--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -10,18 +10,11 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from gypsumwind.core.propagation import DELEGATE_MAX_STALENESS_S, FOLLOW_LONG_POLL_S
 from gypsumwind.core.versions import Version
 from gypsumwind.eras import EraTracker
 from gypsumwind.utils import monotonic
 
-FOLLOW_LONG_POLL_S = 1.0
-"""Longest wait of a follower's call, and of a delegate's call to the store: each answer shows that
-this feed is alive, and no other one does."""
-
-RELAY_MAX_STALENESS_S = 2.0
-"""Staleness from which a VM is not followed: a delegate's call for a high-rate feed waits a second,
-half a second passes before the next, and the rest is for network latency and late timers."""
-
 INFINITE_STALENESS_S = 1e6
 """Staleness of a VM that never got an answer from the store; in milliseconds it fits 32 bits."""
 
@@ -84,12 +77,15 @@
     def follow(
         self, log_id: int, position: int, wait_s: float, staleness: Callable[[], float]
     ) -> RelayUpdate:
-        """Return the changes after a position, waiting for them; a snapshot for a new follower."""
+        """Return the changes after a position, waiting for them; a snapshot for a new follower.
+
+        The wait ends early once followers would leave a delegate that is as stale as this VM.
+        """
         deadline = monotonic() + wait_s
         with self._changed:
             resumable = log_id == self._log_id and self._compacted_at <= position <= self._position
             while resumable and position == self._position:
-                remaining_s = min(deadline - monotonic(), RELAY_MAX_STALENESS_S - staleness())
+                remaining_s = min(deadline - monotonic(), DELEGATE_MAX_STALENESS_S - staleness())
                 if remaining_s <= 0:
                     break
                 self._changed.wait(remaining_s)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,9 +3,13 @@
 import threading
 from types import SimpleNamespace
 
+import pytest
+
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.peers import PeerClient, PeerError, PeerServer
+from gypsumwind.utils import monotonic
 from tests.standins.fleet import wait_until
+from tests.standins.raw import raw_server
 
 PORT = 18495
 
@@ -33,3 +37,28 @@
         assert wait_until(ping, text="a call is answered") == 7
         assert failed
         wait_until(lambda: not server._calls, text="no call is left open")
+
+
+@pytest.mark.parametrize("answer", [b"", b"\1"], ids=["silent", "a-byte-at-a-time"])
+def test_call_for_changes_ends_by_its_deadline(answer):
+    """Guards against a source that answers slowly, or not at all, and holds up its followers."""
+    over = threading.Event()
+
+    def serve(sock):
+        for _ in range(400):
+            if over.wait(0.05):
+                break
+            sock.sendall(answer)
+
+    with raw_server(serve) as address:
+        endpoint = Endpoint(address[0], 0, 0, address[1])
+        ended = threading.Thread(target=follow, args=(endpoint, monotonic() + 0.5), daemon=True)
+        ended.start()
+        ended.join(5.0)
+        assert not ended.is_alive()
+        over.set()
+
+
+def follow(endpoint, deadline):
+    with pytest.raises(PeerError):
+        PeerClient("127.0.0.1", 30.0).follow(endpoint, "rules", 0, 0, 0.0, deadline)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -15,11 +15,16 @@
 from gypsumwind.core.delegates import FANOUT, RelayTree, delegates
 from gypsumwind.core.lapses import EXPIRY_GRACE_S, GracePeriodList
 from gypsumwind.core.membership import Endpoint, Member, State
+from gypsumwind.core.propagation import (
+    HIGH_RATE_INTERVAL_S,
+    LOW_RATE_INTERVAL_S,
+    RELAY_LONG_POLL_S,
+    RELAY_MAX_STALENESS_S,
+)
 from gypsumwind.core.versions import Version
 from gypsumwind.errors import Code, StoreError
 from gypsumwind.feeds import Changes, FeedTask
 from gypsumwind.followers import (
-    RELAY_LONG_POLL_S,
     SOURCE_BACKOFF_S,
     RelayedFeed,
     Role,
@@ -27,7 +32,7 @@
 )
 from gypsumwind.peers import PeerError
 from gypsumwind.platform.store import WATCH_MARGIN_S
-from gypsumwind.relays import RELAY_MAX_STALENESS_S, Codec, RelayHub, RelayLog
+from gypsumwind.relays import Codec, RelayHub, RelayLog
 from gypsumwind.snapshots import MembersView, Snapshots
 from gypsumwind.wire import pack, relay_update_from_wire, relay_update_to_wire, thrift, unpack
 
@@ -41,14 +46,20 @@
 
 
 class Clock:
-    """Replaces the monotonic clock of the modules under test."""
+    """Replaces the monotonic clock of the modules under test; `current` is the one in use."""
+
+    current = None
 
     def __init__(self):
+        Clock.current = self
         self.now = 1000.0
         self._originals = [(m, m.monotonic) for m in (feeds, followers, relays)]
         for module, _ in self._originals:
             module.monotonic = lambda: self.now
 
+    def sleep(self, seconds):
+        self.now += seconds
+
     def restore(self):
         for module, original in self._originals:
             module.monotonic = original
@@ -133,8 +144,23 @@
         del others[name]
         snapshots.members = MembersView(me, others, {})
         self.zone = ZoneView(name, "a1", snapshots)
-        feed = RelayedFeed("t", self.store_feed, self.zone, self.hub, fleet.follow)
-        self.task = FeedTask("t", feed, 0.5, self._publish, random.Random(1))
+        feed = RelayedFeed(
+            "t",
+            self.store_feed,
+            self.zone,
+            self.hub,
+            fleet.follow,
+            sleep=lambda seconds: Clock.current.sleep(seconds),
+        )
+        interval_s = HIGH_RATE_INTERVAL_S if fleet.high_rate else LOW_RATE_INTERVAL_S
+        self.task = FeedTask(
+            "t",
+            feed,
+            interval_s,
+            self._publish,
+            random.Random(1),
+            max_interval_s=feed.max_interval_s,
+        )
 
     def _publish(self, values, version, grace_s):
         now = feeds.monotonic()
@@ -163,7 +189,7 @@
         self.follower = next(iter(self.rest), None)
         self.restarts = 1
 
-    def follow(self, to, feed, log, position, wait_s):
+    def follow(self, to, feed, log, position, wait_s, deadline):
         vm = next(name for name, endpoint in ENDPOINTS.items() if endpoint == to)
         if vm in self.unreachable:
             raise PeerError("cut")
