Bodies in a pipeline belong to their own requests

Fix: one rule: the connection remembers the request whose head was read last, by whichever thread. Nothing is read ahead unless that request has no body; only the worker gets past one, when it serves it, and then reads the next head itself.

Ruled out: the readers of bodies (each ends where its body ends, also with trailers), the order of answers.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -116,12 +116,16 @@
             self.memory.close()
 
     def body_reader(self) -> SizedBody | ChunkedBody:
-        """Return a reader of the request's body."""
+        """Return a reader of the request's body, to whose end the next bytes belong to it."""
         stream = self.conn.rfile
         stream.begin_body()
+        body: SizedBody | ChunkedBody
         if self.chunked_read:
-            return ChunkedBody(stream, self.server.max_request_body_size)
-        return SizedBody(stream, int(self.inheaders.get(b"Content-Length", 0)))
+            body = ChunkedBody(stream, self.server.max_request_body_size)
+        else:
+            body = SizedBody(stream, int(self.inheaders.get(b"Content-Length", 0)))
+        self.conn.body = body
+        return body
 
 
 class CallerConnection(HTTPConnection):
@@ -136,10 +140,22 @@
 
         super().__init__(server, sock, open_file)
         self.head_began_at: float | None = None
+        self.body: SizedBody | ChunkedBody | None = None
         self._memory = Reservation(server.memory)
         self._held = 0
         server.open_connections.add(self)
 
+    def communicate(self) -> bool:
+        """Answer a request; return whether to keep the connection.
+
+        What is left of a body is never read as the next request.
+        """
+        keep = super().communicate()
+        if keep and self.body is not None and not self.body.ended:
+            log.info("closed-within-body")
+            return False
+        return bool(keep)
+
     def has_head(self) -> bool:
         """Return whether the head of a request, or one beyond the limit, has arrived."""
         return self.rfile.has_head(self.server.max_request_header_size)
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -1,8 +1,8 @@
 """HTTP pipelining: requests sent before the first response start at once, answered in order.
 
-A worker thread reads and answers one request after the other. While it serves a request without
-a body, a helper thread reads the next requests on the connection and starts them; the worker
-answers them in order of arrival. Only repeatable requests start early.
+A worker thread reads and answers one request after the other. While it serves a request, a helper
+thread reads the heads of the next ones on the connection, up to one with a body, and starts them;
+the worker answers them in order of arrival. Only repeatable requests start early.
 """
 
 import socket
@@ -42,14 +42,14 @@
     @property
     def bodiless(self) -> bool:
         """Return whether the next bytes on the connection belong to another request."""
-        length = self.inheaders.get(b"Content-Length", b"0")
-        return not self.chunked_read and length in (b"", b"0")
+        length = int(self.inheaders.get(b"Content-Length", b"0"))
+        return self.ready and not self.chunked_read and length == 0
 
     def read_ahead(self) -> None:
         """Read the request before its turn; the error response to a malformed one waits for it."""
         self._read_ahead = True
         super().parse_request()
-        if self.ready and self.bodiless:
+        if self.bodiless:
             self.rfile = self.body_reader()
 
     def parse_request(self) -> None:
@@ -70,34 +70,35 @@
 
     def respond(self) -> None:
         """Answer the request; meanwhile others may be read ahead."""
-        with self.conn.serving(self):
+        with self.conn.serving():
             super().respond()
 
 
-class _ReadAheadScope:
-    """Allows a connection to read ahead while it serves a request."""
+class _ServingScope:
+    """The time in which a connection's worker serves a request and reads no head."""
 
-    __slots__ = ("_conn", "_allowed")
+    __slots__ = ("_conn",)
 
-    def __init__(self, conn: "PipelinedConnection", allowed: bool) -> None:
+    def __init__(self, conn: "PipelinedConnection") -> None:
         self._conn = conn
-        self._allowed = allowed
 
     def __enter__(self) -> None:
         with self._conn.lock:
-            self._conn.may_read_ahead = self._allowed
-        if self._allowed and self._conn.rfile.has_data():
+            self._conn.is_serving = True
+        if self._conn.rfile.has_data():
             self._conn.more()
 
     def __exit__(self, *_: object) -> None:
         with self._conn.lock:
-            self._conn.may_read_ahead = False
+            self._conn.is_serving = False
 
 
 class PipelinedConnection(CallerConnection):
     """A caller's connection and the requests that were read ahead on it.
 
-    `resets`: its response was cut, and only a reset tells its caller so.
+    `is_serving`: its worker serves a request. `last_read` is the request whose head was read last,
+    by the worker or a helper: the next bytes are its body, if it has one, whichever request is
+    being served. `resets`: its response was cut, and only a reset tells its caller so.
     """
 
     helpers: ThreadPoolExecutor
@@ -108,7 +109,8 @@
         super().__init__(*args, **kwargs)
         self.lock = threading.Lock()
         self.resets = False
-        self.may_read_ahead = False
+        self.is_serving = False
+        self.last_read: PipelinedRequest | None = None
         self.ahead: deque[PipelinedRequest] = deque()
         self._reading = False
 
@@ -117,7 +119,8 @@
         with self.lock:
             if self.ahead:
                 return self.ahead.popleft()
-        return PipelinedRequest(server, conn)
+            self.last_read = PipelinedRequest(server, conn)
+            return self.last_read
 
     def communicate(self) -> bool:
         """Answer requests until none read ahead is left; return whether to keep the connection."""
@@ -127,22 +130,30 @@
                     return True
         return False
 
-    def serving(self, req: PipelinedRequest) -> _ReadAheadScope:
-        """Return the context manager in which a request is answered."""
-        return _ReadAheadScope(self, req.bodiless and self.allowed())
+    def serving(self) -> _ServingScope:
+        """Return the context manager in which the worker serves a request."""
+        return _ServingScope(self)
 
-    def more(self) -> None:
-        """Start to read ahead when bytes arrive while a request is served.
+    def _may_read_ahead(self) -> bool:
+        """Return whether the next bytes are a head that a helper may read now.
 
-        Nothing is read ahead during a shutdown: the request in service may last until the process
-        ends, and those behind it would get no response.
+        A body is read by the worker, when its request is served. Nothing is read behind a request
+        that closes the connection, nor during a shutdown: the request in service may last until the
+        process ends, and those behind it would get no response.
         """
-        if (
-            self.may_read_ahead
-            and self.allowed()
-            and not self._reading
+        last = self.last_read
+        return (
+            self.is_serving
+            and last is not None
+            and last.bodiless
+            and not last.close_connection
             and len(self.ahead) < MAX_PIPELINED
-        ):
+            and self.allowed()
+        )
+
+    def more(self) -> None:
+        """Start to read ahead when bytes arrive while a request is served."""
+        if not self._reading and self._may_read_ahead():
             self._reading = True
             self.helpers.submit(self._read)
 
@@ -159,18 +170,17 @@
 
     def _read_requests(self) -> None:
         """Read the requests whose heads have arrived."""
-        while self.may_read_ahead and self.allowed() and len(self.ahead) < MAX_PIPELINED:
+        while self._may_read_ahead():
             if not self.has_head():
                 if wait_for_read(self.socket, timeout=0.0) and self.rfile.receive():
                     continue
                 return
             req = PipelinedRequest(self.server, self)
             req.read_ahead()
+            self.last_read = req
             self.ahead.append(req)
-            if not req.ready or not req.bodiless:
-                self.may_read_ahead = False
-                return
-            type(self).begin(req)
+            if req.bodiless:
+                type(self).begin(req)
 
     def close(self) -> None:
         """Close the connection and abandon the requests that started early on it."""
--- a/gypsumwind/request_bodies.py
+++ b/gypsumwind/request_bodies.py
@@ -70,6 +70,11 @@
         self._stream = stream
         self._left = length
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the body has been read to its end."""
+        return not self._left
+
     def read(self, size: int) -> bytes:
         """Return at most `size` bytes, none at the end; BodyError if there are fewer in all."""
         data = self._stream.read(min(size, self._left)) if self._left else b""
@@ -91,6 +96,11 @@
         self._ended = False
         self._last_line = (b"", 0)
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the body has been read to its end, with its trailers."""
+        return self._ended
+
     def read(self, size: int) -> bytes:
         """Return at most `size` bytes, none at the end; BodyError if the body is not sound."""
         try:
--- a/tests/integration/test_request_forms.py
+++ b/tests/integration/test_request_forms.py
@@ -2,6 +2,7 @@
 behind it on its connection; and what is smuggled behind a body."""
 
 import os
+import random
 import socket
 import time
 
@@ -163,3 +164,53 @@
         answer = sock.recv(65536)
     assert answer.startswith(b"HTTP/1.1 400 ") or not answer
     assert not runs_of(fleet, "cut")
+
+
+SMUGGLED = head("GET", "/read/x", "unasked") + b"\r\n"
+"""A request that stands in a body."""
+
+
+def drawn_pipeline(rng, name):
+    """Return the requests of a connection as (id, method, path, body), and their bytes."""
+    requests, wire = [], b""
+    for n in range(6):
+        request = f"{name}-{n}"
+        body = rng.choice([b"", b"", b"line\r\n\r\nline\r\n", SMUGGLED, b"b" * 3000 + SMUGGLED])
+        method, path = rng.choice([("GET", f"/read/{request}"), ("PUT", f"/book/{request}")])
+        begun = head(method, path, request, 60_000)
+        if not body:
+            wire += begun + b"\r\n"
+        elif rng.random() < 0.5:
+            wire += b"".join(sized(begun, len(body), [body]))
+        else:
+            wire += b"".join(chunked(begun, [b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)]))
+        requests.append((request, method, path, body))
+    return requests, wire
+
+
+def play_pipeline(fleet, seed):
+    """Send the requests of a connection, cut anywhere; return them and their answers' statuses."""
+    rng = random.Random(seed)
+    requests, wire = drawn_pipeline(rng, f"pipeline-{seed}")
+    cuts = sorted(rng.sample(range(1, len(wire)), 4))
+    address = (fleet.vms["vm-1"].ip, platform.FRONT_PORT)
+    with socket.create_connection(address, 60) as sock, sock.makefile("rb") as file:
+        for begin, end in zip([0, *cuts], [*cuts, len(wire)], strict=True):
+            sock.sendall(wire[begin:end])
+            time.sleep(rng.choice([0.0, 0.05, 0.2]))
+        return requests, [read_answer(file) for _ in requests]
+
+
+def test_bodies_anywhere_in_a_pipeline_belong_to_their_requests(fleet):
+    """Guards against bodies that are run as requests, or passed on with another request."""
+    fleet.set_instances(service_time_s=0.15)
+    try:
+        played = [play_pipeline(fleet, seed) for seed in range(12)]
+    finally:
+        fleet.set_instances(service_time_s=0.0)
+    assert [statuses for _, statuses in played] == [[200] * 6] * 12
+    sent = {request[0]: request for requests, _ in played for request in requests}
+    ran = [run for up in fleet.instances.values() for run in up.ran if "pipeline" in run[0]]
+    assert not runs_of(fleet, "unasked")
+    assert {run[0] for run in ran} == set(sent)
+    assert all(run == sent[run[0]] for run in ran)
--- a/tests/standins/steered.py
+++ b/tests/standins/steered.py
@@ -120,6 +120,9 @@
     def do_POST(self):
         self.do_GET()
 
+    def do_PUT(self):
+        self.do_GET()
+
     def _work(self, up, request):
         finish_at = time.monotonic() + up.service_time_s
         while time.monotonic() < finish_at:
