Responses are written whole whatever timeout is on the caller's socket

Cause, two parts. The server's `timeout` is the idle time of connections and becomes 0 when the listener is closed; the same number was set on the socket of a request whose body had been waited for, where 0 means "do not wait at all". And the library's writer takes the None that a full socket then returns for "all written", drops the bytes and goes on with the next part.

Ruled out: the end of the process (2 s away), the instance (it had answered whole), stalled transfers (nothing was short).

Fix: a writer of our own that sends until all is taken, waits for the socket itself, up to the idle limit without progress, and raises otherwise; it doesn't depend on what a reader, a linger or an accept left on the socket, so nothing is reset before an answer. Connections get a timeout that is never 0.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -4,10 +4,12 @@
 send it slowly, or not at all, take none.
 """
 
+import errno
 import selectors
 import socket
 import threading
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -15,6 +17,7 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection, HTTPRequest
+from urllib3.util import wait_for_write
 
 from gypsumwind.log import Log
 from gypsumwind.memory import RESERVE_WAIT_S, Reservation
@@ -36,6 +39,9 @@
 SLOW_HEAD_S = 1.0
 """Time after which an unfinished head makes its connection the first to be closed, in seconds."""
 
+MIN_WRITE_WAIT_S = 1.0
+"""Shortest limit of a wait for a caller to take bytes, however soon idle connections are closed."""
+
 REQUEST_TIMEOUT = "408 Request Timeout"
 NO_MEMORY = "503 Service Unavailable\r\nRetry-After: 1"
 """Status of a refusal for want of memory, with a field behind it."""
@@ -128,6 +134,44 @@
         return body
 
 
+class CallerWriter:
+    """Writes to a caller's socket, whatever timeout a reader has left there.
+
+    `wait_s` returns the longest wait, in seconds, for a caller to take more bytes.
+    """
+
+    def __init__(self, sock: socket.socket, wait_s: Callable[[], float]) -> None:
+        self.bytes_written = 0
+        self._sock = sock
+        self._wait_s = wait_s
+        self._lock = threading.Lock()
+
+    def write(self, data: bytes) -> int:
+        """Write all bytes; OSError, such as TimeoutError, if the caller does not take them."""
+        left = memoryview(data)
+        with self._lock:
+            while left:
+                sent = self._send(left)
+                self.bytes_written += sent
+                left = left[sent:]
+        return len(data)
+
+    def _send(self, data: memoryview) -> int:
+        """Send what the system takes, at least a byte; return the number of bytes."""
+        deadline = monotonic() + max(MIN_WRITE_WAIT_S, self._wait_s())
+        while True:
+            try:
+                return self._sock.send(data)
+            except (BlockingIOError, TimeoutError) as exc:
+                if exc.errno == errno.ETIMEDOUT:
+                    raise
+            if not wait_for_write(self._sock, max(0.0, deadline - monotonic())):
+                raise TimeoutError("the caller does not take its response")
+
+    def flush(self) -> None:
+        """Do nothing: nothing is buffered."""
+
+
 class CallerConnection(HTTPConnection):
     """A caller's connection, of which at most RECEIVE_BUFFER_BYTES wait unread in the system."""
 
@@ -135,9 +179,11 @@
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
         def open_file(sock: socket.socket, mode: str, size: int) -> Any:
-            reads = "r" in mode
-            return CallerStream(sock, server.transfers) if reads else makefile(sock, mode, size)
+            if "r" in mode:
+                return CallerStream(sock, server.transfers)
+            return CallerWriter(sock, lambda: server.limits().idle_s)
 
+        sock.settimeout(max(MIN_WRITE_WAIT_S, server.limits().idle_s))
         super().__init__(server, sock, open_file)
         self.head_began_at: float | None = None
         self.body: SizedBody | ChunkedBody | None = None
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -241,9 +241,6 @@
 
     def _send_head(self, status: int, headers: list[tuple[str, str]], length: int | None) -> None:
         req = self._req
-        if req.conn.rfile.has_own_timeout:
-            req.conn.rfile.has_own_timeout = False
-            self.socket.settimeout(req.server.timeout)
         self.response_started = True
         req.status = _status_line(status)
         pairs = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
@@ -306,7 +303,10 @@
 
     @property
     def timeout(self) -> int:  # type: ignore[override]
-        """Return the longest time, in seconds, for which a connection may be idle."""
+        """Return the longest time, in seconds, for which a connection may be idle.
+
+        It is 0 once the listener is closed, so it is no timeout for a socket.
+        """
         return math.ceil(self.limits().idle_s) if self.listening else 0
 
     def prepare(self) -> None:
--- a/gypsumwind/streams.py
+++ b/gypsumwind/streams.py
@@ -30,14 +30,13 @@
     """Bytes of a caller in their order; `bytes_read` counts those received.
 
     Heads are received by `receive` when bytes have arrived, bodies by reads that wait for them
-    until `deadline`. `has_own_timeout`: such a read has changed the timeout of the socket.
+    until `deadline` and leave their timeout on the socket.
     """
 
     def __init__(self, sock: socket.socket, transfers: Transfers) -> None:
         self.buffer = bytearray()
         self.bytes_read = 0
         self.deadline: float | None = None
-        self.has_own_timeout = False
         self._sock = sock
         self._transfers = transfers
         self._transfer = Transfer(sock, socket.SHUT_RD)
@@ -117,7 +116,6 @@
         left = MAX_WAIT_S if self.deadline is None else self.deadline - monotonic()
         try:
             with self.waiting():
-                self.has_own_timeout = True
                 self._sock.settimeout(max(0.001, left))
                 data = self._sock.recv(size)
         except TimeoutError as exc:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,11 +5,13 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 
 import pytest
 
-from gypsumwind.callers import SLOW_HEAD_S
+from gypsumwind.callers import SLOW_HEAD_S, CallerWriter
+from gypsumwind.calls import Answer
 from gypsumwind.core.rules import CallerLimits
 from gypsumwind.memory import RECEIVE_BUFFER_BYTES, REQUESTS_SHARE, MemoryBudget
 from gypsumwind.servers import Server
@@ -165,3 +167,104 @@
         stop.set()
         read = 200 * 65536
         assert sent <= read + 2 * 131072 + 4 * RECEIVE_BUFFER_BYTES
+
+
+ANSWER = bytes(range(256)) * 16384
+
+
+def read_slowly(sock, block=16384):
+    """Return all bytes until the connection ends, read in small blocks."""
+    data = bytearray()
+    while part := sock.recv(block):
+        data += part
+        if len(data) % 7 == 0:
+            time.sleep(0.001)
+    return bytes(data)
+
+
+@pytest.mark.parametrize("timeout_s", [0, 0.0001, 5.0, None], ids=str)
+def test_writer_sends_all_bytes_whatever_timeout_is_left_on_the_socket(timeout_s):
+    """Guards against answers cut by a write that the socket refused, and nobody noticed."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs, ThreadPoolExecutor(1) as pool:
+        received = pool.submit(read_slowly, theirs)
+        writer = CallerWriter(ours, lambda: 10.0)
+        ours.settimeout(timeout_s)
+        assert writer.write(ANSWER) == len(ANSWER) == writer.bytes_written
+        ours.shutdown(socket.SHUT_WR)
+        assert received.result(30) == ANSWER
+
+
+def test_writer_gives_up_on_a_caller_that_takes_nothing():
+    """Guards against threads that wait without end for callers that do not read."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.settimeout(0)
+        with pytest.raises(TimeoutError):
+            CallerWriter(ours, lambda: 0.0).write(ANSWER * 8)
+
+
+class FrontLike:
+    """A handler that answers with ANSWER once it may, after the request's body has been read."""
+
+    def __init__(self, chunked):
+        self.answer_now, self.waiting = threading.Event(), threading.Event()
+        self._length = None if chunked else len(ANSWER)
+        self.reads_body = True
+
+    def __call__(self, ex):
+        if self.reads_body:
+            assert b"".join(ex.body.chunks()) in (b"", b"body")
+        self.waiting.set()
+        self.answer_now.wait(30)
+        parts = [ANSWER[n : n + 262144] for n in range(0, len(ANSWER), 262144)]
+        answer = Answer(200, [], iter(parts), lambda: None, self._length)
+        ex.send_response(answer, "vm-1", closing=self.reads_body)
+
+
+FIELDS = b"PUT / HTTP/1.1\r\nHost: h\r\n"
+REQUESTS_WITH_ANSWERS = {
+    "no-body": [GET],
+    "late-body": [FIELDS + b"Content-Length: 4\r\n\r\n", b"bo", b"dy"],
+    "chunks": [FIELDS + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbo", b"dy\r\n0\r\n\r\n"],
+    "expect": [FIELDS + b"Content-Length: 4\r\nExpect: 100-continue\r\n\r\n", b"body"],
+}
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["sized", "chunked-answer"])
+@pytest.mark.parametrize("form", REQUESTS_WITH_ANSWERS)
+def test_large_answer_is_whole_though_the_listener_was_closed(form, chunked):
+    """Guards against answers that are cut during a planned stop."""
+    handler = FrontLike(chunked)
+    with serving(handler) as server, connect() as sock:
+        for part in REQUESTS_WITH_ANSWERS[form]:
+            sock.sendall(part)
+            time.sleep(0.05)
+        assert handler.waiting.wait(10)
+        server.close_listener()
+        handler.answer_now.set()
+        data = read_slowly(sock)
+    head, _, body = data.removeprefix(b"HTTP/1.1 100 Continue\r\n\r\n").partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 OK")
+    assert (dechunked(body) if chunked else body) == ANSWER
+
+
+def dechunked(data):
+    """Return the data of the chunks of an answer, which has to end with the last one."""
+    found, position = bytearray(), 0
+    while size := int(data[position : (end := data.index(b"\r\n", position))], 16):
+        found += data[end + 2 : end + 2 + size]
+        position = end + 2 + size + 2
+    assert data[position:] == b"0\r\n\r\n"
+    return bytes(found)
+
+
+def test_connection_that_is_accepted_while_the_listener_closes_gets_a_whole_answer():
+    """Guards against connections whose sockets get the idle time of a server that stops."""
+    handler = FrontLike(chunked=False)
+    handler.answer_now.set()
+    with serving(handler) as server:
+        server._http.listening = False
+        with connect() as sock:
+            sock.sendall(GET)
+            assert read_slowly(sock).endswith(ANSWER)
