A response is not reset when its request was not read to the end

Cause: responses of instances linger only if the VM sends its callers away; errors of the VM's own lingered after unread bodies already. The last chunk is written by the library after the handler.

Evidence: two tests in tests/test_callers.py that failed without the change of servers.py (ConnectionResetError; the last chunk unsent).

Fix: a response to a request whose body has a rest lingers like an error does. The last chunk is sent, and the instance's connection released, before.

--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -46,6 +46,8 @@
 """Longest wait for the rest of a body that is not used, before the response, in seconds: callers
 send short bodies along with the head."""
 
+LAST_CHUNK = b"0\r\n\r\n"
+
 LINGER_S = 2.0
 """Longest lingering close after a response to a request whose body was not read, in seconds."""
 
@@ -169,7 +171,8 @@
             if answer.instance:
                 headers.append((H_INSTANCE, answer.instance))
             closing = closing and not self.has_pipelined
-            if closing or self.body.unread:
+            rest = self.body.unread
+            if closing or rest:
                 self._req.close_connection = True
             self._send_head(answer.status, headers, answer.length)
             transfer = Transfer(self.socket, socket.SHUT_RDWR)
@@ -177,9 +180,11 @@
                 transfer.expect(len(chunk))
                 with self._transfers.waiting(transfer):
                     self._req.write(chunk)
+            self._end_chunks()
             whole = True
-            if closing:
-                self._linger(CLOSE_LINGER_S)
+            answer.end(whole)
+            if rest or closing:
+                self._linger(LINGER_S if rest else CLOSE_LINGER_S)
         except RequestError as exc:
             if answer.length is None and not self._req.chunked_write:
                 self._req.conn.resets = True
@@ -217,6 +222,12 @@
         if rest or closing:
             self._linger(LINGER_S if rest else CLOSE_LINGER_S)
 
+    def _end_chunks(self) -> None:
+        """End a body in chunks now: the library would end it after a lingering close."""
+        if self._req.chunked_write:
+            self._req.conn.wfile.write(LAST_CHUNK)
+            self._req.chunked_write = False
+
     def _discard_body(self) -> bool:
         """Discard a short rest of the body that arrives at once; return whether it has ended."""
         if self.body.unread:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,7 +14,7 @@
 from gypsumwind.calls import Answer
 from gypsumwind.core.rules import CallerLimits
 from gypsumwind.memory import RECEIVE_BUFFER_BYTES, REQUESTS_SHARE, MemoryBudget
-from gypsumwind.servers import Server
+from gypsumwind.servers import Exchange, Server
 from tests.standins.fleet import wait_until
 
 PORT = 18497
@@ -268,3 +268,27 @@
         with connect() as sock:
             sock.sendall(GET)
             assert read_slowly(sock).endswith(ANSWER)
+
+
+def test_answer_is_whole_though_its_request_was_not_read_to_the_end():
+    """Guards against a reset, by the close with unread bytes, that discards the answer's end."""
+    handler = FrontLike(chunked=False)
+    handler.reads_body = False
+    with serving(handler), connect() as sock:
+        sock.sendall(FIELDS + b"Content-Length: 4000\r\n\r\n")
+        assert handler.waiting.wait(10)
+        sock.sendall(b"b" * 2000)
+        handler.answer_now.set()
+        time.sleep(0.3)
+        assert read_slowly(sock).endswith(ANSWER)
+
+
+def test_answer_in_chunks_ends_before_its_connection_lingers(monkeypatch):
+    """Guards against callers who wait for the end of an answer until the connection closes."""
+    handler, ended = FrontLike(chunked=True), []
+    handler.answer_now.set()
+    monkeypatch.setattr(Exchange, "_linger", lambda ex, _: ended.append(not ex._req.chunked_write))
+    with serving(handler), connect() as sock:
+        sock.sendall(GET)
+        _, _, body = read_slowly(sock).partition(b"\r\n\r\n")
+    assert dechunked(body) == ANSWER and ended == [True]
