--- a/tests/integration/test_direct.py
+++ b/tests/integration/test_direct.py
@@ -13,7 +13,7 @@
 from gypsumwind.core.delegates import delegates
 from tests.standins import platform
 from tests.standins.fleet import wait_until
-from tests.standins.steered import SIGNATURE, DirectFleet
+from tests.standins.steered import LARGE_BYTES, SIGNATURE, DirectFleet
 
 INSTANCES = [("i-1", "lookup", "a1"), ("i-2", "lookup", "a1"), ("i-3", "files", "a1")]
 BLOCK = f"127.{220 + os.getpid() % 30}"
@@ -392,6 +392,52 @@
     assert data.count(" 200 OK") == 1 and data.endswith("r-1\n")
 
 
+LATE_BODIES = {
+    "late-body": [b"POST /book/x", b"Content-Length: 4\r\n\r\n", b"bo", b"dy"],
+    "chunks": [b"POST /book/x", b"Transfer-Encoding: chunked\r\n\r\n4\r\nbo", b"dy\r\n0\r\n\r\n"],
+    "no-body": [b"GET /read/x", b"\r\n"],
+}
+
+
+def large_answer(vm, form, is_second):
+    """Return the body of an answer whose request came in parts, as the second one if asked."""
+    line, end, *rest = LATE_BODIES[form]
+    with socket.create_connection((vm.ip, platform.FRONT_PORT)) as sock:
+        sock.settimeout(20)
+        if is_second:
+            sock.sendall(pipelined_request(f"first-{form}", "GET /nowhere/x"))
+            assert b" 404 " in read_until(sock, lambda data: data.endswith(b"}\n"))
+        begun = line + b" HTTP/1.1\r\nHost: api.example\r\nGypsumwind-Deadline-Ms: 9000\r\n"
+        sock.sendall(begun + f"Gypsumwind-Request-Id: {form}-{is_second}\r\n".encode() + end)
+        for part in rest:
+            time.sleep(0.02)
+            sock.sendall(part)
+        data = read_until(sock, lambda data: len(data) > LARGE_BYTES + 1000)
+        return data.partition(b"\r\n\r\n")[2]
+
+
+@pytest.mark.parametrize(
+    "signals",
+    [(signal.SIGTERM,), (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM), (signal.SIGHUP,)],
+    ids=["term", "term-hup-term", "hup"],
+)
+def test_planned_work_cuts_no_large_answer(fleet, signals):
+    """Guards against answers that are cut after a SIGTERM, seconds before the process ends."""
+    vm = first_vm(fleet)
+    fleet.set_instances(service_time_s=2.4, mode="large")
+    with ThreadPoolExecutor(6) as pool:
+        asked = [
+            pool.submit(large_answer, vm, form, is_second)
+            for form in LATE_BODIES
+            for is_second in (False, True)
+        ]
+        wait_until(lambda: sum(len(up.ran) for up in fleet.instances.values()) == 6)
+        for number in signals:
+            vm.process.send_signal(number)
+            time.sleep(0.2)
+        assert [fut.result() == b"l" * LARGE_BYTES for fut in asked] == [True] * 6
+
+
 def set_timeout(fleet, seconds):
     """Apply a configuration with this timeout for the first listener's rules."""
     fleet.store.put("config", "main", platform.config(13, seconds))
