--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -62,9 +62,10 @@
     relays: frozenset[str] = frozenset()
     standby: str = ""
 
-    def max_staleness_s(self, source: str) -> float:
-        """Return the staleness from which a source is not followed."""
-        return RELAY_MAX_STALENESS_S if source in self.relays else DELEGATE_MAX_STALENESS_S
+
+def max_staleness_s(is_relay: bool) -> float:
+    """Return the staleness from which a relay, or a delegate, is not followed."""
+    return RELAY_MAX_STALENESS_S if is_relay else DELEGATE_MAX_STALENESS_S
 
 
 class ZoneView:
@@ -160,6 +161,7 @@
     def _poll(self, wait_s: float, after: Version) -> Changes:
         role = self._zone.role()
         self._times = polling(self._high_rate, role.is_relay, role.is_standby)
+        self._hub.max_staleness_s = max_staleness_s(role.is_relay)
         update = self._poll_sources(wait_s, role)
         if update is None:
             return self._poll_store(min(wait_s, self._store_long_poll_s(role)), after)
@@ -247,7 +249,7 @@
         if not self._hub.eras.observe(update.version.era, vm):
             text = f"era {update.version.era} precedes the last restore of the store"
             raise _StaleSourceError(text)
-        if update.age_s >= role.max_staleness_s(vm):
+        if update.age_s >= max_staleness_s(vm in role.relays):
             raise _StaleSourceError(f"no answer from the store for {update.age_s:.1f} s")
         self._switch_source(vm)
         self._outages.record_answer(monotonic() - update.age_s)
--- a/gypsumwind/relays.py
+++ b/gypsumwind/relays.py
@@ -75,17 +75,22 @@
             self._changed.notify_all()
 
     def follow(
-        self, log_id: int, position: int, wait_s: float, staleness: Callable[[], float]
+        self,
+        log_id: int,
+        position: int,
+        wait_s: float,
+        staleness: Callable[[], float],
+        max_staleness_s: float = DELEGATE_MAX_STALENESS_S,
     ) -> RelayUpdate:
         """Return the changes after a position, waiting for them; a snapshot for a new follower.
 
-        The wait ends early once followers would leave a delegate that is as stale as this VM.
+        The wait ends early at the staleness from which followers leave this VM.
         """
         deadline = monotonic() + wait_s
         with self._changed:
             resumable = log_id == self._log_id and self._compacted_at <= position <= self._position
             while resumable and position == self._position:
-                remaining_s = min(deadline - monotonic(), DELEGATE_MAX_STALENESS_S - staleness())
+                remaining_s = min(deadline - monotonic(), max_staleness_s - staleness())
                 if remaining_s <= 0:
                     break
                 self._changed.wait(remaining_s)
@@ -103,6 +108,7 @@
 
     `log_id` distinguishes the changelogs of two starts of a process. Feeds in `high_rate` change so
     often that a pause between their calls batches the changes. `eras` tracks the store's era.
+    `max_staleness_s`: the staleness from which this VM, a delegate or a relay, is not followed.
     """
 
     def __init__(
@@ -115,6 +121,7 @@
         self.eras = eras or EraTracker()
         self.codecs = codecs
         self.high_rate = high_rate
+        self.max_staleness_s = DELEGATE_MAX_STALENESS_S
         self._logs = {feed: RelayLog(log_id) for feed in codecs}
         self._last_answer_at = dict.fromkeys(codecs, -INFINITE_STALENESS_S)
         self._grace_until = dict.fromkeys(codecs, -INFINITE_STALENESS_S)
@@ -138,7 +145,9 @@
     def follow(self, feed: str, log_id: int, position: int, wait_s: float) -> RelayUpdate:
         """Serve a follower, with the values as JSON documents; KeyError for an unknown feed."""
         wait_s = min(wait_s, FOLLOW_LONG_POLL_S)
-        update = self._logs[feed].follow(log_id, position, wait_s, lambda: self.age_s(feed))
+        update = self._logs[feed].follow(
+            log_id, position, wait_s, lambda: self.age_s(feed), self.max_staleness_s
+        )
         encode = self.codecs[feed].encode
         docs = {n: None if value is None else encode(value) for n, value in update.values.items()}
         grace_s = max(0.0, self._grace_until[feed] - monotonic())
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -1,6 +1,8 @@
 """Zones whose sources fall silent: their connections open, but calls to them are not answered."""
 
 import random
+import threading
+from collections import Counter
 
 import pytest
 
@@ -41,6 +43,7 @@
         self.history, self.revision = [], 1
         self.cut = set()
         self.store_calls = []
+        self.follow_calls = Counter()
         self.received_at = {}
         self.endpoints = {vm: Endpoint(f"127.0.0.{n}", 0, 0, 1) for n, vm in enumerate(self.names)}
         self.hubs = {vm: RelayHub(1, {"t": CODEC}, self.high_rate) for vm in self.names}
@@ -90,13 +93,14 @@
         """Call a VM; PeerError at the deadline if it stands still."""
         vm = next(name for name, endpoint in self.endpoints.items() if endpoint == to)
         until = self.time.now + wait_s
+        self.follow_calls[threading.current_thread().name] += 1
         self.time.sleep(VM_S)
         while True:
             if self.is_silent(vm):
                 self.time.sleep(deadline - self.time.now)
                 raise PeerError("timed out")
             update = self.hubs[vm].follow(feed, log, position, 0.0)
-            is_over = self.time.now >= until or update.age_s >= relays.DELEGATE_MAX_STALENESS_S
+            is_over = self.time.now >= until or update.age_s >= self.hubs[vm].max_staleness_s
             if update.whole or update.position != position or is_over:
                 break
             self.time.sleep(STEP_S)
@@ -241,3 +245,24 @@
     play.store_calls.clear()
     time.run_for(30.0)
     assert {vm for _, vm in play.store_calls} == {play.tree.delegates[0]}
+
+
+@SEEDS
+@pytest.mark.parametrize(
+    ("high_rate", "a_call_s"), [(False, 1.0), (True, 0.9)], ids=["low", "high"]
+)
+def test_calls_of_followers_wait_for_changes_in_a_calm_zone_with_relays(
+    time, high_rate, a_call_s, seed
+):
+    """Guards against relays that end each call at once, as their own staleness is that of a second
+    level: followers would call them again without a pause."""
+    play = Play(time, 20, high_rate, seed)
+    time.run_for(8.0)
+    play.follow_calls.clear()
+    time.run_for(30.0)
+    followers_calls = [
+        play.follow_calls[vm]
+        for vm in play.names
+        if vm not in (*play.tree.delegates, *play.tree.relays)
+    ]
+    assert max(followers_calls) <= 30.0 / a_call_s + 1
