--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -42,8 +42,9 @@
     @property
     def bodiless(self) -> bool:
         """Return whether the next bytes on the connection belong to another request."""
-        length = int(self.inheaders.get(b"Content-Length", b"0"))
-        return self.ready and not self.chunked_read and length == 0
+        if not self.ready or self.chunked_read:
+            return False
+        return int(self.inheaders.get(b"Content-Length", b"0")) == 0
 
     def read_ahead(self) -> None:
         """Read the request before its turn; the error response to a malformed one waits for it."""
@@ -176,9 +177,10 @@
                     continue
                 return
             req = PipelinedRequest(self.server, self)
-            req.read_ahead()
+            # First of all, so that its connection closes if reading it fails.
             self.last_read = req
             self.ahead.append(req)
+            req.read_ahead()
             if req.bodiless:
                 type(self).begin(req)
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -1,8 +1,10 @@
 """Requests with and without bodies behind each other on one connection, answered in any rhythm."""
 
 import queue
+import re
 import socket
 import threading
+import time
 from contextlib import contextmanager, suppress
 
 import pytest
@@ -201,3 +203,30 @@
             while sock.recv(65536):
                 pass
     assert targets == ["/0"]
+
+
+@pytest.mark.parametrize("length", [b"abc", b"+5", b"-1", b"1, 1"])
+def test_nothing_is_read_behind_a_malformed_head_in_a_pipeline(length):
+    """Guards against a helper that fails, and leaves what follows the head to the worker."""
+    targets, early, answer_now = [], [], threading.Event()
+    head = b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %s\r\n\r\n" % length
+
+    def handle(ex):
+        targets.append(ex.target)
+        ex.on_readable()
+        answer_now.wait(TIMEOUT_S)
+        ex.send_bytes(b"", "text/plain")
+
+    address = ("127.0.0.1", PORT)
+    with pipelining(handle, early), socket.create_connection(address, TIMEOUT_S) as sock:
+        sock.sendall(b"GET /0 HTTP/1.1\r\nHost: h\r\n\r\n" + head)
+        sock.sendall(b"GET /unasked HTTP/1.1\r\nHost: h\r\n\r\n")
+        wait_until(lambda: targets)
+        time.sleep(0.2)
+        answer_now.set()
+        data = b""
+        with suppress(ConnectionResetError):
+            while part := sock.recv(65536):
+                data += part
+    assert targets == ["/0"] and not early
+    assert re.findall(rb"HTTP/1.1 (\d+) ", data) == [b"200", b"400"]
