A slow store is left to the delegates

Fix: delegates wait for changes at the store for 0.85 s, for upstreams 0.4 s; followers at delegates as well.

--- a/gypsumwind/core/propagation.py
+++ b/gypsumwind/core/propagation.py
@@ -16,13 +16,16 @@
 INNER_INTERVAL_S = 0.25
 """The same pause of relays and second delegates, on which other VMs depend."""
 
-FOLLOW_LONG_POLL_S = 1.0
+FOLLOW_LONG_POLL_S = 0.85
 """Longest wait of a follower's call, and of a delegate's call to the store: each answer shows that
 this feed is alive, and no other one does."""
 
-HIGH_RATE_LONG_POLL_S = 0.5
+HIGH_RATE_LONG_POLL_S = 0.4
 """The same for a high-rate feed."""
 
+UNFOLLOWED_HIGH_RATE_LONG_POLL_S = 1.0
+"""Longest wait of a call to the store for a high-rate feed from a VM that no other one follows."""
+
 LARGE_ZONE_LONG_POLL_S = 0.5
 """Longest wait of a delegate's call to the store in a zone with relays."""
 
@@ -52,8 +55,8 @@
 """Pause between these calls, whose answers are whole lists."""
 
 DELEGATE_MAX_STALENESS_S = 1.35
-"""Staleness from which a delegate is not followed: a delegate's calls to the store take at most
-1.05 s with the pause before them, and the rest is for network latency and late timers."""
+"""Staleness from which a delegate is not followed: a delegate's calls to the store wait for at most
+0.9 s with the pause before them (1 s in a zone with relays), and the rest is for a slow store."""
 
 RELAY_MAX_STALENESS_S = 1.9
 """Staleness from which a relay is not followed: that of its delegate and half a second."""
--- a/gypsumwind/followers.py
+++ b/gypsumwind/followers.py
@@ -23,6 +23,7 @@
     RELAY_MAX_STALENESS_S,
     STANDBY_PATIENCE_S,
     STANDBY_RETRY_S,
+    UNFOLLOWED_HIGH_RATE_LONG_POLL_S,
     polling,
 )
 from gypsumwind.core.versions import Version
@@ -290,10 +291,9 @@
             return RECOVERY_LONG_POLL_S
         if role.has_relays:
             return LARGE_ZONE_LONG_POLL_S
-        if self._high_rate and role.has_followers:
-            return HIGH_RATE_LONG_POLL_S
-        is_short = self._high_rate or role.has_followers
-        return FOLLOW_LONG_POLL_S if is_short else MAX_LONG_POLL_S
+        if role.has_followers:
+            return HIGH_RATE_LONG_POLL_S if self._high_rate else FOLLOW_LONG_POLL_S
+        return UNFOLLOWED_HIGH_RATE_LONG_POLL_S if self._high_rate else MAX_LONG_POLL_S
 
     def _publish(self, found: Changes, is_snapshot: bool, has_news: bool) -> Changes:
         """Publish the list to followers and return its changes; a snapshot removes other names.
