A lost opening packet does not end the call to a sound source

Each such follower left a delegate that was well and read the store.

The source then still waited for changes for all of the wait.

Fix: the wait that the source is asked for ends when it would have ended without the delay. The deadline stays, and with it the sums of core/propagation.py. A test fails without it.

--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections.abc import Sequence
-from contextlib import suppress
+from contextlib import closing, suppress
 from types import TracebackType
 from typing import Any
 
@@ -123,18 +123,20 @@
         self._ip = ip
         self._timeout_s = timeout_s
 
-    def _call(self, to: Endpoint, method: str, *args: Any, deadline: float | None = None) -> Any:
-        connect_s = self._timeout_s if deadline is None else _remaining_s(deadline)
+    def _connect(self, to: Endpoint, timeout_s: float) -> socket.socket:
         try:
-            sock = socket.create_connection(
-                (to.ip, to.peer_port), connect_s, source_address=(self._ip, 0)
-            )
+            address = (to.ip, to.peer_port)
+            return socket.create_connection(address, timeout_s, source_address=(self._ip, 0))
         except OSError as exc:
             raise PeerError(f"{to.ip}:{to.peer_port}: {exc}") from exc
-        with sock:
-            counted = (
-                CountedSocket(sock=sock) if deadline is None else _DeadlineSocket(sock, deadline)
-            )
+
+    def _call(self, to: Endpoint, method: str, *args: Any) -> Any:
+        sock = self._connect(to, self._timeout_s)
+        return self._call_on(CountedSocket(sock=sock), to, method, *args)
+
+    def _call_on(self, counted: CountedSocket, to: Endpoint, method: str, *args: Any) -> Any:
+        """Call a peer on a connection of this call alone, and close it."""
+        with closing(counted):
             transport = TFramedTransport(counted)
             client = TClient(thrift.Peer, TBinaryProtocol(transport))
             try:
@@ -194,10 +196,14 @@
     ) -> RelayUpdate:
         """Long-poll a relay for the changes after a position of a feed's changelog.
 
-        PeerError by the deadline, on this process's clock, at the latest.
+        PeerError by the deadline, on this process's clock, at the latest. The wait for changes
+        becomes shorter by the time that connecting takes, which is a second if a packet is lost.
         """
-        wait_ms = int(wait_s * 1000)
-        wire = self._call(to, "follow", feed, log, position, wait_ms, deadline=deadline)
+        wait_until = monotonic() + wait_s
+        sock = self._connect(to, _remaining_s(deadline))
+        wait_ms = int(max(0.0, wait_until - monotonic()) * 1000)
+        counted = _DeadlineSocket(sock, deadline)
+        wire = self._call_on(counted, to, "follow", feed, log, position, wait_ms)
         return relay_update_from_wire(wire)
 
     def void_attempt(self, to: Endpoint, attempt: str, remaining_ms: int, incarnation: int) -> bool:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,13 +1,17 @@
 """Tests of the server for calls of other VMs without a daemon."""
 
+import socket
 import threading
+import time
 from types import SimpleNamespace
 
 import pytest
 
 from gypsumwind.core.membership import Endpoint
 from gypsumwind.peers import PeerClient, PeerError, PeerServer
+from gypsumwind.relays import Codec, RelayHub
 from gypsumwind.utils import monotonic
+from gypsumwind.wire import relay_update_to_wire
 from tests.standins.fleet import wait_until
 from tests.standins.raw import raw_server
 
@@ -62,3 +66,25 @@
 def follow(endpoint, deadline):
     with pytest.raises(PeerError):
         PeerClient("127.0.0.1", 30.0).follow(endpoint, "rules", 0, 0, 0.0, deadline)
+
+
+def test_call_for_changes_waits_less_after_a_slow_connect(monkeypatch):
+    """Guards against sources that are left although only the opening packet was lost."""
+    waits = []
+    update = relay_update_to_wire(
+        RelayHub(1, {"rules": Codec(str, str)}).follow("rules", 0, 0, 0.0)
+    )
+    service = SimpleNamespace(follow=lambda *args: waits.append(args[-1]) or update)
+    connect = socket.create_connection
+
+    def connect_late(*args, **values):
+        time.sleep(0.5)
+        return connect(*args, **values)
+
+    monkeypatch.setattr(socket, "create_connection", connect_late)
+    endpoint = Endpoint("127.0.0.1", 0, 0, PORT)
+    with PeerServer("127.0.0.1", PORT, service):
+        client = PeerClient("127.0.0.1", 5.0)
+        client.follow(endpoint, "rules", 0, 0, 0.8, monotonic() + 20.0)
+        client.follow(endpoint, "rules", 0, 0, 0.3, monotonic() + 20.0)
+    assert 0 < waits[0] <= 300 and waits[1] == 0
