One place each for the last chunk, the stated length and a write's wait

The last chunk of a response was written in two places (the request itself and, new, the exchange), the stated length of a body was parsed in three, the least wait for a caller was applied in two, and the scope in which a request is served was a class of its own for two lines. Now: CallerRequest.end_chunks and body_length, one wait_s for the socket and its writer, a context manager method.

Checked: lint; test_callers, test_pipelines, test_servers, test_request_bodies, test_pages: 63 passed.

--- a/gypsumwind/callers.py
+++ b/gypsumwind/callers.py
@@ -42,6 +42,8 @@
 MIN_WRITE_WAIT_S = 1.0
 """Shortest limit of a wait for a caller to take bytes, however soon idle connections are closed."""
 
+LAST_CHUNK = b"0\r\n\r\n"
+
 REQUEST_TIMEOUT = "408 Request Timeout"
 NO_MEMORY = "503 Service Unavailable\r\nRetry-After: 1"
 """Status of a refusal for want of memory, with a field behind it."""
@@ -116,20 +118,31 @@
         try:
             self.server.gateway(self).respond()
             self.ensure_headers_sent()
-            if self.chunked_write:
-                self.conn.wfile.write(b"0\r\n\r\n")
+            self.end_chunks()
         finally:
             self.memory.close()
 
+    def end_chunks(self) -> None:
+        """Send the last chunk of a response in chunks, unless it was sent."""
+        if self.chunked_write:
+            self.conn.wfile.write(LAST_CHUNK)
+            self.chunked_write = False
+
+    @property
+    def body_length(self) -> int | None:
+        """Return the length of the body that the head states, None for one in chunks."""
+        return None if self.chunked_read else int(self.inheaders.get(b"Content-Length", b"0"))
+
     def body_reader(self) -> SizedBody | ChunkedBody:
         """Return a reader of the request's body, to whose end the next bytes belong to it."""
         stream = self.conn.rfile
         stream.begin_body()
-        body: SizedBody | ChunkedBody
-        if self.chunked_read:
-            body = ChunkedBody(stream, self.server.max_request_body_size)
-        else:
-            body = SizedBody(stream, int(self.inheaders.get(b"Content-Length", 0)))
+        length = self.body_length
+        body = (
+            ChunkedBody(stream, self.server.max_request_body_size)
+            if length is None
+            else SizedBody(stream, length)
+        )
         self.conn.body = body
         return body
 
@@ -158,7 +171,7 @@
 
     def _send(self, data: memoryview) -> int:
         """Send what the system takes, at least a byte; return the number of bytes."""
-        deadline = monotonic() + max(MIN_WRITE_WAIT_S, self._wait_s())
+        deadline = monotonic() + self._wait_s()
         while True:
             try:
                 return self._sock.send(data)
@@ -178,12 +191,14 @@
     RequestHandlerClass: Any = CallerRequest
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
+        def wait_s() -> float:
+            return max(MIN_WRITE_WAIT_S, server.limits().idle_s)
+
         def open_file(sock: socket.socket, mode: str, size: int) -> Any:
-            if "r" in mode:
-                return CallerStream(sock, server.transfers)
-            return CallerWriter(sock, lambda: server.limits().idle_s)
+            reads = "r" in mode
+            return CallerStream(sock, server.transfers) if reads else CallerWriter(sock, wait_s)
 
-        sock.settimeout(max(MIN_WRITE_WAIT_S, server.limits().idle_s))
+        sock.settimeout(wait_s())
         super().__init__(server, sock, open_file)
         self.head_began_at: float | None = None
         self.body: SizedBody | ChunkedBody | None = None
--- a/gypsumwind/pipelines.py
+++ b/gypsumwind/pipelines.py
@@ -8,8 +8,9 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
 from typing import Any
 
 from urllib3.util import wait_for_read
@@ -42,9 +43,7 @@
     @property
     def bodiless(self) -> bool:
         """Return whether the next bytes on the connection belong to another request."""
-        if not self.ready or self.chunked_read:
-            return False
-        return int(self.inheaders.get(b"Content-Length", b"0")) == 0
+        return self.ready and self.body_length == 0
 
     def read_ahead(self) -> None:
         """Read the request before its turn; the error response to a malformed one waits for it."""
@@ -75,25 +74,6 @@
             super().respond()
 
 
-class _ServingScope:
-    """The time in which a connection's worker serves a request and reads no head."""
-
-    __slots__ = ("_conn",)
-
-    def __init__(self, conn: "PipelinedConnection") -> None:
-        self._conn = conn
-
-    def __enter__(self) -> None:
-        with self._conn.lock:
-            self._conn.is_serving = True
-        if self._conn.rfile.has_data():
-            self._conn.more()
-
-    def __exit__(self, *_: object) -> None:
-        with self._conn.lock:
-            self._conn.is_serving = False
-
-
 class PipelinedConnection(CallerConnection):
     """A caller's connection and the requests that were read ahead on it.
 
@@ -131,9 +111,18 @@
                     return True
         return False
 
-    def serving(self) -> _ServingScope:
-        """Return the context manager in which the worker serves a request."""
-        return _ServingScope(self)
+    @contextmanager
+    def serving(self) -> Iterator[None]:
+        """Return the context manager in which the worker serves a request and reads no head."""
+        with self.lock:
+            self.is_serving = True
+        if self.rfile.has_data():
+            self.more()
+        try:
+            yield
+        finally:
+            with self.lock:
+                self.is_serving = False
 
     def _may_read_ahead(self) -> bool:
         """Return whether the next bytes are a head that a helper may read now.
--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -46,8 +46,6 @@
 """Longest wait for the rest of a body that is not used, before the response, in seconds: callers
 send short bodies along with the head."""
 
-LAST_CHUNK = b"0\r\n\r\n"
-
 LINGER_S = 2.0
 """Longest lingering close after a response to a request whose body was not read, in seconds."""
 
@@ -108,8 +106,7 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in req.inheaders.items()
         }
-        length = None if req.chunked_read else int(req.inheaders.get(b"Content-Length", b"0"))
-        self.body = Body(req.rfile, length, req.memory)
+        self.body = Body(req.rfile, req.body_length, req.memory)
 
     @property
     def query(self) -> dict[str, str]:
@@ -180,7 +177,7 @@
                 transfer.expect(len(chunk))
                 with self._transfers.waiting(transfer):
                     self._req.write(chunk)
-            self._end_chunks()
+            self._req.end_chunks()
             whole = True
             answer.end(whole)
             if rest or closing:
@@ -222,12 +219,6 @@
         if rest or closing:
             self._linger(LINGER_S if rest else CLOSE_LINGER_S)
 
-    def _end_chunks(self) -> None:
-        """End a body in chunks now: the library would end it after a lingering close."""
-        if self._req.chunked_write:
-            self._req.conn.wfile.write(LAST_CHUNK)
-            self._req.chunked_write = False
-
     def _discard_body(self) -> bool:
         """Discard a short rest of the body that arrives at once; return whether it has ended."""
         if self.body.unread:
