Pages of the VM linger after a request that was not read to its end

The client of a new test got ECONNRESET.

Fix: one method decides for errors, pages and answers of instances whether the connection closes and how long it lingers; the first two had copies of it, pages had half of one. Nothing changes for errors and answers.

--- a/gypsumwind/servers.py
+++ b/gypsumwind/servers.py
@@ -153,10 +153,10 @@
 
     def _send_page(self, status: int, data: bytes, content_type: str) -> None:
         """Send a page; the connection is closed if the request has a body that does not end."""
-        if not self._discard_body():
-            self._req.close_connection = True
+        linger_s = self._linger_after(not self._discard_body(), closing=False)
         self._send_head(status, [("Content-Type", content_type)], len(data))
         self._req.write(data)
+        self._linger(linger_s)
 
     def send_response(self, answer: Answer, vm: str, closing: bool) -> None:
         """Stream a response; abort the connection on a failure, so that it never looks complete."""
@@ -167,10 +167,7 @@
             headers += [(H_VERDICT, answer.verdict.value), (H_VM, vm)]
             if answer.instance:
                 headers.append((H_INSTANCE, answer.instance))
-            closing = closing and not self.has_pipelined
-            rest = self.body.unread
-            if closing or rest:
-                self._req.close_connection = True
+            linger_s = self._linger_after(self.body.unread, closing)
             self._send_head(answer.status, headers, answer.length)
             transfer = Transfer(self.socket, socket.SHUT_RDWR)
             for chunk in answer.chunks:
@@ -180,8 +177,7 @@
             self._req.end_chunks()
             whole = True
             answer.end(whole)
-            if rest or closing:
-                self._linger(LINGER_S if rest else CLOSE_LINGER_S)
+            self._linger(linger_s)
         except RequestError as exc:
             if answer.length is None and not self._req.chunked_write:
                 self._req.conn.resets = True
@@ -196,10 +192,7 @@
 
         With `fractions`, for callers that parse them, Retry-After is not rounded to whole seconds.
         """
-        rest = not self._discard_body()
-        closing = closing and not self.has_pipelined
-        if closing or rest:
-            self._req.close_connection = True
+        linger_s = self._linger_after(not self._discard_body(), closing)
         doc = {"code": exc.code.value, "message": exc.message, "verdict": exc.verdict.value}
         data = (json.dumps(doc) + "\n").encode()
         headers = [
@@ -216,8 +209,7 @@
             headers.append(("Retry-After", str(wait)))
         self._send_head(exc.status, headers, len(data))
         self._req.write(data)
-        if rest or closing:
-            self._linger(LINGER_S if rest else CLOSE_LINGER_S)
+        self._linger(linger_s)
 
     def _discard_body(self) -> bool:
         """Discard a short rest of the body that arrives at once; return whether it has ended."""
@@ -226,8 +218,18 @@
             self.body.discard(MAX_DISCARDED_BYTES)
         return not self.body.unread
 
+    def _linger_after(self, has_rest: bool, closing: bool) -> float:
+        """Close the connection after the response if its request has a rest, or to send the caller
+        away unless others wait behind it; return how long to linger then, 0 if it stays open."""
+        closing = closing and not self.has_pipelined
+        if closing or has_rest:
+            self._req.close_connection = True
+        return LINGER_S if has_rest else CLOSE_LINGER_S if closing else 0.0
+
     def _linger(self, seconds: float) -> None:
         """Keep reading for a while after the response: a reset would discard it at the caller."""
+        if not seconds:
+            return
         until = monotonic() + seconds
         transfer = Transfer(self.socket, socket.SHUT_RD, 0.0)
         with suppress(Exception), self._transfers.waiting(transfer):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -292,3 +292,21 @@
         sock.sendall(GET)
         _, _, body = read_slowly(sock).partition(b"\r\n\r\n")
     assert dechunked(body) == ANSWER and ended == [True]
+
+
+def test_page_is_whole_though_its_request_was_not_read_to_the_end():
+    """Guards against the same reset after a response of the VM's own."""
+    waiting, answer_now = threading.Event(), threading.Event()
+
+    def handle(ex):
+        waiting.set()
+        answer_now.wait(30)
+        ex.send_bytes(ANSWER, "text/plain")
+
+    with serving(handle), connect() as sock:
+        sock.sendall(FIELDS + b"Content-Length: 4000\r\n\r\n")
+        assert waiting.wait(10)
+        answer_now.set()
+        time.sleep(0.2)
+        sock.sendall(b"b" * 2000)
+        assert read_slowly(sock).endswith(ANSWER)
