--- a/gypsumwind/peers.py
+++ b/gypsumwind/peers.py
@@ -415,7 +415,7 @@
     def _receive(self, call: _Call, size: int, deadline: float, memory: Reservation) -> bytes:
         data = bytearray()
         while len(data) < size:
-            call.client.sock.settimeout(max(0.001, deadline - monotonic()))
+            call.client.sock.settimeout(_remaining_s(deadline))
             part = call.client.read(min(CHUNK_BYTES, size - len(data)))
             if not memory.grow(len(part)):
                 raise ValueError(f"no memory for a call of {size} bytes")
